--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -29,6 +29,8 @@
     private static final double LIMIT_LEAST = 1.0 / 8;
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
+    /** Refused unsent after more than this share of its client's wait, a request leaves it no time to retry. */
+    private static final double HELD_SHARE = 0.5;
     /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
     private static final double CALLS = SUBPERIOD;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
@@ -554,9 +556,10 @@
         }
     }
 
-    /** From here on a held request is of no use. */
+    /** From here on a held request is of no use: it would be late, or its client has to try elsewhere. */
     private double lastCall(Req r) {
-        return Math.min(r.useful - LAST_CALL * r.type.mean, r.deadline - 2 * set.tick());
+        return Math.min(r.useful - LAST_CALL * r.type.mean,
+            r.deadline - (1 - HELD_SHARE) * r.told.patience() - 2 * set.tick());
     }
 
     private boolean covered(Customer c, Req r) {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -267,6 +267,19 @@
         assertEquals(0, b.count("refuse 98"));
     }
 
+    /** Held longer, a request that is never sent has used up what its client had for another try. */
+    @Test void aRequestIsHeldForHalfOfItsClientsWaitAtMost() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 30; i++) {
+            b.module.arrived(0, new Gateway.Request(i, "read", "rate", "c", 600, 1, 2, 0, false));
+        }
+        b.answerCounter(OK);
+        b.answerCounter(OK);
+        b.to(300);
+        assertEquals(30, b.count("send") + b.count("refuse"), b.log.toString());
+        assertTrue(b.count("refuse") > 0);
+    }
+
     @Test void aStaleReminderArmsNoFurtherOne() {
         Bench b = new Bench().start().servers(4);
         for (int i = 0; i < 200; i++) {
