--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -29,8 +29,10 @@
     private static final double LIMIT_LEAST = 1.0 / 8;
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
-    /** Refused unsent after more than this share of its client's wait, a request leaves it no time to retry. */
+    /** Refused unsent past this share of its wait, a request leaves its client no time to retry. */
     private static final double HELD_SHARE = 0.5;
+    /** What a name shows more or less than its store holds is put right past this share of the burst. */
+    private static final double DRIFT = 1.0 / 8;
     /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
     private static final double CALLS = SUBPERIOD;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
@@ -466,7 +468,7 @@
         // no store holds more than a burst, nor more than was last read of it and what has come since
         double known = Math.min(c.plan.burst(), Math.max(0, c.level) + rate * (now - c.levelAt));
         double excess = before - Math.max(-rate * longestAim, Math.min(before, known));
-        boolean far = Math.abs(excess) > c.plan.burst() / 2;
+        boolean far = Math.abs(excess) > c.plan.burst() * DRIFT;
         if (far) { // idle time, a new or lost name, lost calls: put right
             c.fixed = excess;
             call(c, name(c, c.askEpoch), excess, Why.FIX);
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -280,6 +280,42 @@
         assertTrue(b.count("refuse") > 0);
     }
 
+    /** Two gateways at one counter; the arrivals are numbered on. */
+    private static List<Bench> two() {
+        Map<Long, Double> counter = new HashMap<>();
+        List<Bench> both = new ArrayList<>();
+        for (int n = 0; n < 2; n++) {
+            Bench b = new Bench();
+            b.sums = counter;
+            both.add(b.start().servers(8));
+        }
+        return both;
+    }
+
+    /** So many arrive at a time, each answered by the counter as far as it asks; how many are sent at once. */
+    private static long burst(Bench b, double time, int requests) {
+        b.to(time);
+        while (!b.calls.isEmpty()) {
+            b.answerCounter(OK);
+        }
+        long before = b.count("send");
+        for (int i = 0; i < requests; i++) {
+            b.arrive((long) time * 100 + i, "read", "rate", "c");
+        }
+        while (!b.calls.isEmpty()) {
+            b.answerCounter(OK);
+        }
+        return b.count("send") - before;
+    }
+
+    /** What a full store did not take in stayed on the name: each gateway in turn took it for room. */
+    @Test void whatAFullStoreDidNotTakeInIsTakenOffItsName() {
+        List<Bench> both = two();
+        assertEquals(2, burst(both.get(0), 0, 1) + burst(both.get(1), 0, 1));
+        assertEquals(8, burst(both.get(0), 600, 8), "full since 250 ms");
+        assertEquals(0, burst(both.get(1), 601, 8), "and used up");
+    }
+
     @Test void aStaleReminderArmsNoFurtherOne() {
         Bench b = new Bench().start().servers(4);
         for (int i = 0; i < 200; i++) {
