--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -91,7 +91,7 @@
         double share, credits, accruedAt, dueUnits, held, arrived, usual;
         double level, levelAt, guess, guessAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
-        long askEpoch, slotEpoch, totalEpoch;
+        long askEpoch, slotEpoch, totalEpoch = Long.MIN_VALUE, carriedEpoch = Long.MIN_VALUE;
         int out;
         boolean asking, inRing;
 
@@ -160,7 +160,7 @@
         }
     }
 
-    private enum Why { CLAIM, FIX, GIVE, TAKE_SLOT, GIVE_SLOT }
+    private enum Why { CLAIM, FIX, GIVE, CARRY, TAKE_SLOT, GIVE_SLOT }
 
     private record Call(Customer customer, Why why, double amount) { }
 
@@ -351,6 +351,7 @@
             case CLAIM -> claimHeard(c, outcome, total);
             case GIVE -> c.uncounted += lost(outcome) ? call.amount : 0; // below 0: still to be taken off
             case FIX -> fixHeard(c, heard, total);
+            case CARRY -> carryHeard(c, heard, total);
             case TAKE_SLOT -> slotHeard(c, heard, total);
             default -> { }
         }
@@ -438,6 +439,11 @@
             return;
         }
         c.asking = true;
+        if (c.totalEpoch == epoch() - 1 && c.carriedEpoch < epoch()) {
+            c.carriedEpoch = epoch();
+            call(c, name(c, epoch() - 1), 0, Why.CARRY);
+            return;
+        }
         c.claimed = weight;
         c.added = weight + c.uncounted;
         c.uncounted = 0;
@@ -506,6 +512,20 @@
         }
     }
 
+    /**
+     * A new name starts at 0, whatever the store holds: the old one tells, once more, what others took since
+     * it was last read here. Without that each gateway's own last reading passed for the store's.
+     */
+    private void carryHeard(Customer c, boolean heard, double total) {
+        c.asking = false;
+        if (heard) {
+            double rate = c.plan.rate() / 1000;
+            c.level = Math.min(filled(c, c.carriedEpoch - 1) - total,
+                Math.min(c.plan.burst(), c.level + rate * (now - c.levelAt)));
+            c.levelAt = now;
+        }
+    }
+
     /** Parts fall due; while the counter is away the share of the rate comes as last known. */
     private void accrue(Customer c) {
         while (!c.due.isEmpty() && c.due.peek()[0] <= now + 1e-6) {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -316,6 +316,14 @@
         assertEquals(0, burst(both.get(1), 601, 8), "and used up");
     }
 
+    /** At a new name the gateway that had read the old one longest ago took its reading for the store's. */
+    @Test void aNewNameDoesNotGiveWhatOthersHaveTaken() {
+        List<Bench> both = two();
+        assertEquals(1, burst(both.get(0), 20_000, 1), "it last sees a full store");
+        assertEquals(8, burst(both.get(1), 29_999, 8));
+        assertEquals(0, burst(both.get(0), 30_001, 8), "the store is empty, whatever the name");
+    }
+
     @Test void aStaleReminderArmsNoFurtherOne() {
         Bench b = new Bench().start().servers(4);
         for (int i = 0; i < 200; i++) {
