--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -438,14 +438,19 @@
         if (c.asking || alone(c) || c.plan.rate() <= 0 || now < c.askAt || !mayCall()) {
             return;
         }
+        double wait = c.queue.isEmpty() ? 0 : Math.max(0, lastCall(c.queue.last()) - now);
+        double room = Math.floor(c.level + c.plan.rate() / 1000 * (now - c.levelAt + wait));
+        if (room < 1) {
+            return; // the last reading leaves nothing, whatever others do: it would all be given back
+        }
         c.asking = true;
         if (c.totalEpoch == epoch() - 1 && c.carriedEpoch < epoch()) {
             c.carriedEpoch = epoch();
             call(c, name(c, epoch() - 1), 0, Why.CARRY);
             return;
         }
-        c.claimed = weight;
-        c.added = weight + c.uncounted;
+        c.claimed = Math.min(weight, room);
+        c.added = c.claimed + c.uncounted;
         c.uncounted = 0;
         c.askEpoch = epoch();
         call(c, name(c, c.askEpoch), c.added, Why.CLAIM);
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -79,6 +79,11 @@
         sums.replaceAll((name, sum) -> sum + otherUnits);
     }
 
+    /** Other gateways have taken so much of every name. */
+    void othersTook(double units) {
+        sums.replaceAll((name, sum) -> sum + units);
+    }
+
     /** Answers the calls made so far, with the totals that stood when they were made. */
     void answerCounter(Gateway.Outcome outcome) {
         for (int n = calls.size(); n > 0; n--) {
