--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -88,7 +88,8 @@
             new TreeSet<>(Comparator.<Req>comparingDouble(r -> r.useful).thenComparingLong(r -> r.serial));
         final ArrayDeque<Long> slots = new ArrayDeque<>();
         final ArrayDeque<double[]> due = new ArrayDeque<>(); // when, units: parts that the rate fills later
-        double share, credits, accruedAt, dueUnits, held, arrived, usual;
+        double share, ownUnits, allUnits, sharedAt;
+        double credits, unclaimed, accruedAt, dueUnits, held, arrived, usual;
         double level, levelAt, guess, guessAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch = Long.MIN_VALUE, carriedEpoch = Long.MIN_VALUE;
@@ -100,7 +101,7 @@
             this.plan = plan;
             this.spread = Math.max(1, spread);
             key = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
-            seen = ceilingAt = levelAt = guessAt = accruedAt = now;
+            seen = sharedAt = ceilingAt = levelAt = guessAt = accruedAt = now;
             level = guess = plan.burst();
             share = 1.0 / this.spread;
         }
@@ -398,9 +399,11 @@
             if (ahead >= 1 && c.usual >= 1 && c.inside > 0.5) {
                 claim(c, ahead);
             } else if (ahead <= -1 && !c.asking && mayCall() && !alone(c) && c.plan.rate() > 0) {
-                double back = Math.min(Math.floor(-ahead), Math.floor(c.credits));
-                c.credits -= back;
-                call(c, name(c, epoch()), -back, Why.GIVE);
+                double back = Math.min(Math.floor(-ahead), Math.floor(c.credits - c.unclaimed));
+                if (back >= 1) {
+                    c.credits -= back;
+                    call(c, name(c, epoch()), -back, Why.GIVE);
+                }
             }
             if (c.queue.isEmpty() && c.out == 0 && !c.asking && c.slots.isEmpty() && c.usual < 0.1) {
                 it.remove();
@@ -461,6 +464,11 @@
         return outcome.neverRan || outcome == Gateway.Outcome.RESET;
     }
 
+    /** No store holds more than a burst, nor more than was last read of it and what has come since. */
+    private double level(Customer c) {
+        return Math.min(c.plan.burst(), c.level + c.plan.rate() / 1000 * (now - c.levelAt));
+    }
+
     /** What the quota has filled under the name of an epoch: a burst and the rate since. */
     private double filled(Customer c, long epoch) {
         return c.plan.burst() + c.plan.rate() * (now - epoch * ACCOUNT) / 1000;
@@ -475,16 +483,15 @@
             return;
         }
         double rate = c.plan.rate() / 1000;
-        double before = filled(c, c.askEpoch) - (total - c.added);
-        // no store holds more than a burst, nor more than was last read of it and what has come since
-        double known = Math.min(c.plan.burst(), Math.max(0, c.level) + rate * (now - c.levelAt));
+        double before = filled(c, c.askEpoch) - (total - c.claimed);
+        double known = level(c);
         double excess = before - Math.max(-rate * longestAim, Math.min(before, known));
         boolean far = Math.abs(excess) > c.plan.burst() * DRIFT;
         if (far) { // idle time, a new or lost name, lost calls: put right
             c.fixed = excess;
             call(c, name(c, c.askEpoch), excess, Why.FIX);
         }
-        before -= (far ? excess : Math.max(0, excess)) + c.added - c.claimed;
+        before -= far ? excess : Math.max(0, excess);
         double wait = c.queue.isEmpty() ? 0 : lastCall(c.queue.last()) - now;
         double part = Math.floor(Math.max(0, Math.min(c.claimed, before + rate * wait)) + 1e-6);
         double ready = Math.floor(Math.max(0, Math.min(part, before)) + 1e-6);
@@ -495,9 +502,9 @@
             at(Kind.RETRY, now + (k - before) / rate, null);
         }
         c.level = c.guess = before - part;
-        if (c.totalEpoch == c.askEpoch && c.added > 0) { // W over the sum of W since our last reading
-            c.share += (c.added / Math.max(c.added, total - c.lastTotal) - c.share) * FAST;
-            c.share = Math.max(c.share, 0.1 / c.spread);
+        double own = part + c.added - c.claimed;
+        if (c.totalEpoch == c.askEpoch) {
+            shared(c, Math.max(0, own), total + part - c.claimed - c.lastTotal);
         }
         c.totalEpoch = c.askEpoch;
         c.lastTotal = total + part - c.claimed + (far ? excess : 0);
@@ -510,6 +517,16 @@
         }
     }
 
+    /** Of what all had since the last reading, so much was had here: old readings count less and less. */
+    private void shared(Customer c, double own, double all) {
+        double kept = Math.pow(0.5, (now - c.sharedAt) / FORGET);
+        c.sharedAt = now;
+        c.ownUnits = c.ownUnits * kept + own;
+        c.allUnits = c.allUnits * kept + Math.max(own, all);
+        double even = c.plan.burst() / 8; // so much had evenly is believed of one not heard of
+        c.share = (c.ownUnits + even / c.spread) / (c.allUnits + even);
+    }
+
     /** Two gateways may put the same excess right: the later one sees it twice gone and takes its back. */
     private void fixHeard(Customer c, boolean heard, double total) {
         if (heard && c.fixed > 0 && filled(c, c.askEpoch) - total < Math.max(0, c.level) - c.fixed / 2) {
@@ -524,9 +541,7 @@
     private void carryHeard(Customer c, boolean heard, double total) {
         c.asking = false;
         if (heard) {
-            double rate = c.plan.rate() / 1000;
-            c.level = Math.min(filled(c, c.carriedEpoch - 1) - total,
-                Math.min(c.plan.burst(), c.level + rate * (now - c.levelAt)));
+            c.level = Math.min(filled(c, c.carriedEpoch - 1) - total - c.uncounted, level(c));
             c.levelAt = now;
         }
     }
@@ -541,8 +556,9 @@
             double from = Math.max(c.accruedAt, alone(c) ? 0 : silentSince);
             double room = Math.max(set.mostUnits(), c.plan.burst() * c.share);
             c.share += (1.0 / c.spread - c.share) * SLOW * Math.min(1, (now - from) / SUBPERIOD);
-            c.credits = Math.max(c.credits,
-                Math.min(room, c.credits + c.plan.rate() * c.share * (now - from) / 1000));
+            double more = Math.min(room - c.credits, c.plan.rate() * c.share * (now - from) / 1000);
+            c.credits += Math.max(0, more);
+            c.unclaimed += alone(c) ? 0 : Math.max(0, more);
         }
         c.accruedAt = now;
     }
@@ -648,11 +664,15 @@
             dequeue(r);
             c.credits -= c.plan.rate() > 0 ? r.told.units() : 0;
             c.ceiling -= r.told.units();
-            if (c.credits < 0 || now < counterSilentUntil) { // told with the next add
-                c.guess = guess(c) - r.told.units() / c.share;
-                c.guessAt = now;
-                c.uncounted += c.credits < 0 ? -c.credits : r.told.units();
+            double untold = Math.max(0, c.unclaimed - c.credits);
+            if (untold > 0) { // told with the next add
+                c.unclaimed = Math.max(0, Math.min(c.unclaimed, c.credits));
                 c.credits = Math.max(0, c.credits);
+                c.guess = guess(c) - untold / c.share;
+                c.guessAt = now;
+                c.uncounted += untold;
+                c.level = level(c) - untold;
+                c.levelAt = now;
             }
             at(Kind.DEADLINE, r.deadline, r);
             send(r, h);
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -350,6 +350,53 @@
         assertEquals(0, burst(both.get(0), 30_001, 8), "the store is empty, whatever the name");
     }
 
+    /**
+     * Two gateways with an uneven customer that asks for more than it has: in silence their parts, by what
+     * each was given before, are the quota; by what each had asked for they were up to twice that.
+     */
+    @Test void inSilenceThePartsOfAllGatewaysAreNoMoreThanTheQuota() {
+        List<Bench> both = two();
+        long id = 0;
+        for (int t = 0; t < 16_000; t += 20) {
+            for (Bench b : both) {
+                b.to(t);
+                b.answerCounter(t < 6000 ? OK : Gateway.Outcome.NO_CONNECTION);
+            }
+            Bench b = both.get(t % 80 == 0 ? 1 : 0);
+            b.arrive(id, "read", "rate", "c");
+            b.answerCounter(t < 6000 ? OK : Gateway.Outcome.NO_CONNECTION);
+            for (long k = Math.max(0, id++ - 60); k < id; k++) { // what was sent is answered; else an odd event
+                both.get(0).end(k, 0, OK);
+                both.get(1).end(k, 0, OK);
+            }
+            if (t == 8000) {
+                both.forEach(each -> each.log.clear());
+            }
+        }
+        long sent = both.get(0).count("send") + both.get(1).count("send");
+        assertTrue(sent > 50 && sent <= 8 * 8 + 2, "8 a second for 8 s: " + sent);
+    }
+
+    /** What was sent in silence was taken off the store again when the counter was back, filled up or not. */
+    @Test void whatWasSentInSilenceLongAgoIsNotTakenOffAFullStore() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 500; i++) {
+            b.to(i * 20);
+            b.answerCounter(i < 50 ? OK : Gateway.Outcome.NO_CONNECTION);
+            b.arrive(i, "read", "rate", "c");
+            b.answerCounter(i < 50 ? OK : Gateway.Outcome.NO_CONNECTION);
+            for (int k = Math.max(0, i - 60); k <= i; k++) {
+                b.end(k, 0, OK);
+            }
+        }
+        b.sums.clear();
+        for (int t = 10_000; t < 12_500; t += 20) { // its customer rests, and the store fills up
+            b.to(t);
+            b.answerCounter(OK);
+        }
+        assertTrue(burst(b, 12_500, 8) >= 7, "a full store, and a counter that is back empty");
+    }
+
     @Test void aStaleReminderArmsNoFurtherOne() {
         Bench b = new Bench().start().servers(4);
         for (int i = 0; i < 200; i++) {
