--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -33,6 +33,10 @@
     private static final double HELD_SHARE = 0.5;
     /** What a name shows more or less than its store holds is put right past this share of the burst. */
     private static final double DRIFT = 1.0 / 8;
+    /** Clients' waits are told apart by so many parts of the class's deadline. */
+    private static final int WAITS = 32;
+    /** So many of one wait, and all counts are halved: habits may change. */
+    private static final int WAITS_KEPT = 1000;
     /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
     private static final double CALLS = SUBPERIOD;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
@@ -71,12 +75,31 @@
     /** A class with the mean time that its answers take. */
     private static final class Type {
         final Gateway.RequestClass told;
+        final int[] waits = new int[WAITS + 1];
         double mean;
+        int usualWait;
 
         Type(Gateway.RequestClass told) {
             this.told = told;
             mean = told.aim() / 8; // until seen: an aim leaves room for a queue, a retry and the way
         }
+
+        /**
+         * How long (ms) the client has waited already, as far as its wait tells. First tries of a class name
+         * much the same wait; a later try that names a shorter one has only the rest of the deadline left.
+         */
+        double waited(double patience) {
+            int wait = (int) Math.min(WAITS, Math.max(0, patience) / told.deadline() * WAITS);
+            if (++waits[wait] > waits[usualWait]) {
+                usualWait = wait;
+            }
+            if (waits[wait] >= WAITS_KEPT) {
+                for (int i = 0; i <= WAITS; i++) {
+                    waits[i] /= 2;
+                }
+            }
+            return wait < usualWait - 1 ? told.deadline() - patience : 0;
+        }
     }
 
     private static final class Customer {
@@ -117,13 +140,13 @@
         boolean over, streaming;
         int out;
 
-        Req(Gateway.Request told, Type type, Customer customer, double now, long serial) {
+        Req(Gateway.Request told, Type type, Customer customer, double now, double left, long serial) {
             this.told = told;
             this.type = type;
             this.customer = customer;
             this.serial = serial;
             deadline = now + told.patience();
-            useful = Math.min(now + type.told.aim(), deadline);
+            useful = Math.min(now + left, deadline);
         }
     }
 
@@ -247,9 +270,10 @@
         c.seen = now;
         c.arrived += told.units();
         askedInPeriod++;
-        Req r = new Req(told, type, c, now, serial++);
+        double left = type.told.aim() - type.waited(told.patience());
+        Req r = new Req(told, type, c, now, left > 0 ? left : type.told.aim(), serial++);
         requests.put(told.id(), r);
-        if (told.again() && now < c.shortUntil) {
+        if (told.again() && now < c.shortUntil || left <= 0 && !plenty(c)) {
             answer(r); // its first try waited here until it was of no use: a fresh request earns more
             return;
         }
@@ -469,6 +493,11 @@
         return Math.min(c.plan.burst(), c.level + c.plan.rate() / 1000 * (now - c.levelAt));
     }
 
+    /** So much of the quota is left that what is of no use any more takes nothing from others. */
+    private boolean plenty(Customer c) {
+        return alone(c) ? c.credits >= c.plan.burst() / c.spread / 2 : level(c) >= c.plan.burst() / 2;
+    }
+
     /** What the quota has filled under the name of an epoch: a burst and the rate since. */
     private double filled(Customer c, long epoch) {
         return c.plan.burst() + c.plan.rate() * (now - epoch * ACCOUNT) / 1000;
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -397,6 +397,25 @@
         assertTrue(burst(b, 12_500, 8) >= 7, "a full store, and a counter that is back empty");
     }
 
+    /** A wait that is shorter than usual is the rest of a deadline: past the aim, its answer is of no use. */
+    @Test void aTryThatHasWaitedPastItsAimTakesNothingFromAShortCustomer() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 30; i++) {
+            b.arrive(i, "read", "rate", "c");
+        }
+        b.answerCounter(OK);
+        b.answerCounter(OK);
+        b.module.arrived(0, new Gateway.Request(40, "read", "rate", "c", 1300, 1, 2, 0, false));
+        assertEquals(1, b.count("refuse 40"), "700 of its aim of 600 are over");
+        b.module.arrived(0, new Gateway.Request(41, "read", "rate", "c", 1700, 1, 2, 0, false));
+        assertEquals(0, b.count("refuse 41"), "300 are left");
+        b.to(200);
+        assertEquals(1, b.count("refuse 41") + b.count("send 41"), "but not the whole aim");
+        b.module.arrived(200, new Gateway.Request(42, "read", "rate", "d", 1300, 1, 2, 0, false));
+        b.answerCounter(OK);
+        assertEquals(1, b.count("send 42"), "with a full store it takes nothing from others");
+    }
+
     @Test void aStaleReminderArmsNoFurtherOne() {
         Bench b = new Bench().start().servers(4);
         for (int i = 0; i < 200; i++) {
