--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -33,12 +33,22 @@
     private static final double HELD_SHARE = 0.5;
     /** What a name shows more or less than its store holds is put right past this share of the burst. */
     private static final double DRIFT = 1.0 / 8;
+    /** A reading that leaves nothing is taken again after this (ms): others may have given back since. */
+    private static final double READ_AGAIN = 2 * SUBPERIOD;
     /** Clients' waits are told apart by so many parts of the class's deadline. */
     private static final int WAITS = 32;
     /** So many of one wait, and all counts are halved: habits may change. */
     private static final int WAITS_KEPT = 1000;
-    /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
-    private static final double CALLS = SUBPERIOD;
+    /** Calls of all gateways that are out together at first; then by how long answers take. */
+    private static final double CALLS = 16;
+    /** Most calls of a gateway that are out together: its connections hold no more without a line. */
+    private static final double CALLS_MOST = 32;
+    /** An answer within this share of its time limit finds no line: one call more may be out. */
+    private static final double CALL_QUICK = 1.0 / 4;
+    /** One past this share was long in line: calls that are added to that line come too late. */
+    private static final double CALL_SLOW = 1.0 / 2;
+    private static final double CALLS_DOWN = 0.9;
+    private static final double CALLS_DOWN_LOST = 0.7;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
     private static final int MISSES = 8;
     /** Open counts get a new name this often (ms): what a killed node held is forgotten by then. */
@@ -68,8 +78,9 @@
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
-    private double callLimit, callsLeft, callsMost;
-    private boolean callsFailed;
+    private double window;
+    private int callsOut;
+    private final ArrayDeque<Customer> ahead = new ArrayDeque<>();
     private double counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
 
     /** A class with the mean time that its answers take. */
@@ -117,7 +128,7 @@
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch = Long.MIN_VALUE, carriedEpoch = Long.MIN_VALUE;
         int out;
-        boolean asking, inRing;
+        boolean asking, inRing, doubted;
 
         Customer(String name, Gateway.Plan plan, int spread, double now) {
             this.name = name;
@@ -205,8 +216,7 @@
         for (Gateway.Plan p : settings.plans()) {
             plans.put(p.name(), p);
         }
-        callLimit = Math.max(1, CALLS / settings.nodes());
-        callsLeft = 4 * callLimit;
+        window = Math.max(1, CALLS / settings.nodes());
         at(Kind.EDGE, nextEdge(), null);
         if (settings.mustAsk()) {
             act.subscribe();
@@ -355,6 +365,7 @@
             return;
         }
         Call call = queue.poll();
+        callsOut--;
         if (queue.isEmpty()) {
             calls.remove(name);
         }
@@ -363,8 +374,7 @@
         // a connection that broke was up a moment ago: no sign that the counter is away
         boolean alive = outcome == Gateway.Outcome.RESET || outcome == Gateway.Outcome.ERROR;
         misses = heard ? 0 : alive ? misses : misses + 1;
-        // crowded; a connection that breaks tells nothing of that
-        callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT;
+        crowding(outcome, took);
         if (heard) {
             counterBackoff = SUBPERIOD;
         } else if (misses >= MISSES && now >= counterSilentUntil) {
@@ -382,6 +392,7 @@
         }
         pump();
         giveBack(c);
+        claimAhead();
     }
 
     // ---- quota: credits, weights, re-split ----
@@ -397,7 +408,7 @@
     }
 
     private boolean mayCall() {
-        return now >= counterSilentUntil && callsLeft >= 1;
+        return now >= counterSilentUntil && callsOut + 1 <= (misses >= MISSES ? 1 : window);
     }
 
     private void onEdge() {
@@ -406,24 +417,17 @@
         sentInPeriod = 0;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
-        if (callsFailed) {
-            callsMost = callLimit > 0.8 * callsMost ? callLimit : 0.99 * callsMost;
-            callLimit = Math.max(CALLS / set.nodes() / 16, callLimit * 0.8); // as TCP: under what failed,
-        } else if (callsLeft < callLimit) {
-            callLimit *= callLimit < 0.8 * callsMost ? 1.1 : 1.01; // soon near it again, then slowly past it
-        }
-        callsFailed = false;
-        callsLeft = Math.min(4 * callLimit, Math.min(callsLeft, 4 * callLimit) + callLimit);
+        ahead.clear();
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
             Customer c = it.next();
             c.usual += (c.arrived - c.usual) * FAST;
             c.arrived = 0;
             accrue(c);
-            double ahead = Math.floor(c.usual) + c.held - c.credits - c.dueUnits;
-            if (ahead >= 1 && c.usual >= 1 && c.inside > 0.5) {
-                claim(c, ahead);
-            } else if (ahead <= -1 && !c.asking && mayCall() && !alone(c) && c.plan.rate() > 0) {
-                double back = Math.min(Math.floor(-ahead), Math.floor(c.credits - c.unclaimed));
+            double more = ahead(c);
+            if (more >= 1) {
+                ahead.add(c);
+            } else if (more <= -1 && !c.asking && mayCall() && !alone(c) && c.plan.rate() > 0) {
+                double back = Math.min(Math.floor(-more), Math.floor(c.credits - c.unclaimed));
                 if (back >= 1) {
                     c.credits -= back;
                     call(c, name(c, epoch()), -back, Why.GIVE);
@@ -433,17 +437,48 @@
                 it.remove();
             }
         }
+        claimAhead();
         if (edges % 64 == 0) { // state of idle customers goes when their stores must be full
             customers.values().removeIf(c -> !active.contains(c) && !c.inRing && now - c.seen > ACCOUNT);
         }
     }
 
+    /** What is usual for a subperiod and held, and not covered yet. */
+    private static double ahead(Customer c) {
+        return Math.floor(c.usual) + c.held - c.credits - c.dueUnits;
+    }
+
+    /** Claims for what is to come, as calls are to be had: what is held already has gone first. */
+    private void claimAhead() {
+        while (!ahead.isEmpty() && mayCall()) {
+            Customer c = ahead.poll();
+            accrue(c);
+            double more = ahead(c);
+            if (more >= 1 && c.usual >= 1 && c.inside > 0.5) {
+                claim(c, more);
+            }
+        }
+    }
+
+    /** As TCP does: so many calls are out as the counter answers in time; a line there makes all late. */
+    private void crowding(Gateway.Outcome outcome, double took) {
+        double limit = set.allowed().counterTimeout();
+        if (outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT) {
+            window *= CALLS_DOWN_LOST;
+        } else if (outcome == Gateway.Outcome.OK && took > limit * CALL_SLOW) {
+            window *= CALLS_DOWN;
+        } else if (outcome == Gateway.Outcome.OK && took < limit * CALL_QUICK && callsOut + 2 > window) {
+            window += 1 / window;
+        }
+        window = Math.max(1, Math.min(CALLS_MOST, window));
+    }
+
     private long epoch() {
         return (long) Math.floor(now / ACCOUNT);
     }
 
     private void call(Customer c, long name, double amount, Why why) {
-        callsLeft--;
+        callsOut++;
         calls.computeIfAbsent(name, k -> new ArrayDeque<>()).add(new Call(c, why, amount));
         act.count(name, amount, why.ordinal() < Why.TAKE_SLOT.ordinal() ? 2 * ACCOUNT : 2 * OPEN_EPOCH);
     }
@@ -467,6 +502,9 @@
         }
         double wait = c.queue.isEmpty() ? 0 : Math.max(0, lastCall(c.queue.last()) - now);
         double room = Math.floor(c.level + c.plan.rate() / 1000 * (now - c.levelAt + wait));
+        if (now >= c.levelAt + READ_AGAIN) {
+            room = Math.max(room, c.queue.isEmpty() ? 0 : c.queue.first().told.units());
+        }
         if (room < 1) {
             return; // the last reading leaves nothing, whatever others do: it would all be given back
         }
@@ -513,9 +551,14 @@
         }
         double rate = c.plan.rate() / 1000;
         double before = filled(c, c.askEpoch) - (total - c.claimed);
-        double known = level(c);
-        double excess = before - Math.max(-rate * longestAim, Math.min(before, known));
+        double others = total - c.added;
+        c.doubted |= c.totalEpoch != c.askEpoch
+            || others < c.plan.burst() / 2 && others < c.lastTotal - c.plan.burst() / 2;
+        // a new or lost name tells nothing of what others had; else a low reading may be a claim to be cut
+        double most = c.doubted ? level(c) : c.plan.burst();
+        double excess = before - Math.max(-rate * longestAim, Math.min(before, most));
         boolean far = Math.abs(excess) > c.plan.burst() * DRIFT;
+        c.doubted &= far;
         if (far) { // idle time, a new or lost name, lost calls: put right
             c.fixed = excess;
             call(c, name(c, c.askEpoch), excess, Why.FIX);
@@ -640,7 +683,7 @@
             double weight = Math.ceil(c.held - c.credits - c.dueUnits - 1e-6);
             // no use to add where the last reading leaves nothing in time
             double known = c.level + c.plan.rate() / 1000 * (now - c.levelAt + lastCall(r) - now);
-            if (weight > 0 && known >= r.told.units()) {
+            if (weight > 0 && (known >= r.told.units() || now >= c.levelAt + READ_AGAIN)) {
                 claim(c, weight);
             }
             if (!onBelief(c, r)) {
