--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -41,6 +41,8 @@
     private static final int MOST_ELEMENTS = 16;
     /** An answer that has begun is whole within this (ms), or it will not be. */
     private static final double WHOLE_WITHIN = 250;
+    /** What was seen of idle connections counts half after this (ms): peers' habits change with the day. */
+    private static final double FADE = 4000;
     /** Rest (ms) of a connection after an answer: what belongs to no request comes right behind one. */
     private static final double REST = 2;
     /** The reports' names for what the settings call otherwise. */
@@ -77,11 +79,17 @@
             this.dial = dial;
         }
 
-        /** Writes on the connection that was used last, of those that have rested; false where none has. */
-        boolean write(Attempt a, double now) {
+        /**
+         * Writes on the connection that was used last, of those that have rested; false where none has. Those
+         * that have stood idle for too long are closed.
+         */
+        boolean write(Attempt a, double now, IdleLimit limit) {
             for (Iterator<Link> it = idle.descendingIterator(); it.hasNext();) {
                 Link link = it.next();
-                if (now - link.usedAt >= REST && link.channel.isActive()) {
+                if (link.used && !limit.allows(now - link.usedAt)) {
+                    it.remove();
+                    link.channel.close();
+                } else if (now - link.usedAt >= REST && link.channel.isActive()) {
                     it.remove();
                     link.write(a);
                     return true;
@@ -97,6 +105,7 @@
     private final int most;
     private final Map<String, Target> targets = new HashMap<>();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private final IdleLimit idleLimit = new IdleLimit();
     private int open;
 
     ServerPool(Node node, EventLoopGroup group, Config config, int most) {
@@ -168,6 +177,7 @@
 
     private void sweep() {
         node.after(SWEEP, this::sweep);
+        idleLimit.fade(Math.pow(0.5, SWEEP / FADE));
         double before = node.now() - config.keepAlive() * RETIRE;
         for (Target t : targets.values()) {
             while (!t.idle.isEmpty() && t.idle.peek().usedAt < before) {
@@ -191,7 +201,7 @@
             node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
             return;
         }
-        if (t.write(a, node.now())) {
+        if (t.write(a, node.now(), idleLimit)) {
             return;
         }
         if (!t.idle.isEmpty()) {
@@ -209,7 +219,7 @@
 
     /** The attempt that has waited longest goes first; none is left with no connection to come or to rest. */
     private void serve(Target t) {
-        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), node.now())) {
+        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), node.now(), idleLimit)) {
             t.waiting.poll();
         }
         if (t.waiting.size() > t.connecting + t.idle.size()) {
@@ -311,6 +321,9 @@
         private boolean answered;
         private boolean begun;
         private double usedAt;
+        /** Whether there was a request before the one that is out, and how long ago it was answered. */
+        private boolean used;
+        private double idle;
 
         Link(Target target) {
             this.target = target;
@@ -321,6 +334,7 @@
             a.link = this;
             written = false;
             begun = false;
+            idle = node.now() - usedAt;
             ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
                 : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
             channel.write(command).addListener(f -> {
@@ -331,6 +345,16 @@
             node.flushLater(channel);
         }
 
+        /** What came of using this connection: an answer, or a reset before anything of one. */
+        private void learn(boolean reset) {
+            if (used) {
+                idleLimit.usedAgain(idle, reset);
+            } else {
+                idleLimit.usedNew(reset);
+            }
+            used = true;
+        }
+
         /** Ready for the next request, after a rest. */
         void free() {
             usedAt = node.now();
@@ -356,6 +380,7 @@
                     channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
                     return;
                 }
+                learn(false);
                 answered = true;
             } finally {
                 ReferenceCountUtil.release(msg);
@@ -422,6 +447,9 @@
             Attempt a = current;
             current = null;
             if (a != null) {
+                if (written && raw.pending == 0) {
+                    learn(true);
+                }
                 end(a, written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
             }
             node.flush();
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -69,6 +70,35 @@
         assertEquals(List.of("-BUSY 1500"), client.message());
     }
 
+    /** An app server that drops idle connections without a word: each next request was reset. */
+    @Test void connectionsThatAreFoundDeadAreNotUsedAgain() throws Exception {
+        start();
+        Peer.Line client = client();
+        Peer.Line line = server;
+        int again = 0;
+        get(client, "first", "read", 900);
+        line.message();
+        line.value("one");
+        assertEquals(List.of("one"), client.message());
+        for (boolean reused = true; reused; again++) {
+            get(client, again + "a", "read", 900);
+            try {
+                line.message();
+                line.close();
+                assertEquals(List.of("-ERR failed"), client.message());
+                get(client, again + "b", "read", 900);
+            } catch (EOFException | java.net.SocketException closed) {
+                reused = false;
+            }
+            line = app.accept();
+            line.message();
+            line.value("two");
+            assertEquals(List.of("two"), client.message());
+            assertTrue(again < 60, "reused for ever");
+        }
+        assertTrue(again >= 5, "a few resets may be chance: " + again);
+    }
+
     @Test void aClientThatClosesIsGoneAndItsAttemptIsTimedOutLater() throws Exception {
         start();
         Peer.Line client = client();
