--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -627,7 +627,7 @@
         if (alone(c) || now < counterSilentUntil) {
             double from = Math.max(c.accruedAt, alone(c) ? 0 : silentSince);
             double room = Math.max(set.mostUnits(), c.plan.burst() * c.share);
-            c.share += (1.0 / c.spread - c.share) * SLOW * Math.min(1, (now - from) / SUBPERIOD);
+            c.share += (1.0 / c.spread - c.share) * FAST * Math.min(1, (now - from) / SUBPERIOD);
             double more = Math.min(room - c.credits, c.plan.rate() * c.share * (now - from) / 1000);
             c.credits += Math.max(0, more);
             c.unclaimed += alone(c) ? 0 : Math.max(0, more);
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -416,6 +416,29 @@
         assertTrue(sent > 50 && sent <= 8 * 8 + 2, "8 a second for 8 s: " + sent);
     }
 
+    /** Requests move while nothing is heard: a gateway that had few before held them to its old part. */
+    @Test void inSilenceAGatewaySoonHasTheEvenPart() {
+        List<Bench> both = two();
+        long before = 0;
+        for (int t = 0; t < 10_000; t += 20) {
+            Gateway.Outcome outcome = t < 6000 ? OK : Gateway.Outcome.NO_CONNECTION;
+            for (Bench b : both) {
+                b.to(t);
+                b.answerCounter(outcome);
+            }
+            Bench b = both.get(t >= 6000 || t % 200 == 0 ? 1 : 0);
+            b.arrive(t, "read", "rate", "c");
+            b.answerCounter(outcome);
+            for (long k = Math.max(0, t - 1000); k <= t; k += 20) {
+                both.get(0).end(k, 0, OK);
+                both.get(1).end(k, 0, OK);
+            }
+            before = t == 8000 ? both.get(1).count("send") : before;
+        }
+        long sent = both.get(1).count("send") - before;
+        assertTrue(sent >= 6 && sent <= 9, "4 a second for 2 s: " + sent);
+    }
+
     /** What was sent in silence was taken off the store again when the counter was back, filled up or not. */
     @Test void whatWasSentInSilenceLongAgoIsNotTakenOffAFullStore() {
         Bench b = new Bench().start().servers(8);
