--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -124,7 +124,7 @@
         final ArrayDeque<double[]> due = new ArrayDeque<>(); // when, units: parts that the rate fills later
         double share, ownUnits, allUnits, sharedAt;
         double credits, unclaimed, accruedAt, dueUnits, held, arrived, usual;
-        double level, levelAt, guess, guessAt, lastTotal;
+        double level, levelAt, guess, guessAt, left, leftAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch = Long.MIN_VALUE, carriedEpoch = Long.MIN_VALUE;
         int out;
@@ -135,8 +135,8 @@
             this.plan = plan;
             this.spread = Math.max(1, spread);
             key = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
-            seen = sharedAt = ceilingAt = levelAt = guessAt = accruedAt = now;
-            level = guess = plan.burst();
+            seen = sharedAt = ceilingAt = levelAt = guessAt = leftAt = accruedAt = now;
+            level = guess = left = plan.burst();
             share = 1.0 / this.spread;
         }
     }
@@ -536,6 +536,13 @@
         return alone(c) ? c.credits >= c.plan.burst() / c.spread / 2 : level(c) >= c.plan.burst() / 2;
     }
 
+    /** What is believed to be in the store: others have gone on as they did when they were last heard of. */
+    private double left(Customer c) {
+        double others = (c.allUnits - c.ownUnits) * Math.log(2) / FORGET;
+        double fills = Math.max(0, c.plan.rate() / 1000 - others);
+        return Math.min(c.plan.burst(), c.left + fills * (now - c.leftAt));
+    }
+
     /** What the quota has filled under the name of an epoch: a burst and the rate since. */
     private double filled(Customer c, long epoch) {
         return c.plan.burst() + c.plan.rate() * (now - epoch * ACCOUNT) / 1000;
@@ -555,7 +562,7 @@
         c.doubted |= c.totalEpoch != c.askEpoch
             || others < c.plan.burst() / 2 && others < c.lastTotal - c.plan.burst() / 2;
         // a new or lost name tells nothing of what others had; else a low reading may be a claim to be cut
-        double most = c.doubted ? level(c) : c.plan.burst();
+        double most = c.doubted ? Math.min(level(c), left(c)) : c.plan.burst();
         double excess = before - Math.max(-rate * longestAim, Math.min(before, most));
         boolean far = Math.abs(excess) > c.plan.burst() * DRIFT;
         c.doubted &= far;
@@ -580,7 +587,8 @@
         }
         c.totalEpoch = c.askEpoch;
         c.lastTotal = total + part - c.claimed + (far ? excess : 0);
-        c.levelAt = c.guessAt = now;
+        c.left = c.level;
+        c.levelAt = c.guessAt = c.leftAt = now;
         c.inside += (part / c.claimed - c.inside) / 2; // few readings, and the last tells most
         usuallyInside += (part / c.claimed - usuallyInside) * SLOW;
         if (part < c.claimed) {
@@ -594,7 +602,9 @@
         double kept = Math.pow(0.5, (now - c.sharedAt) / FORGET);
         c.sharedAt = now;
         c.ownUnits = c.ownUnits * kept + own;
-        c.allUnits = c.allUnits * kept + Math.max(own, all);
+        // more than that is a name that another gateway has put right
+        double most = own + c.plan.burst() + c.plan.rate() / 1000 * (now - c.leftAt);
+        c.allUnits = c.allUnits * kept + Math.max(own, Math.min(all, most));
         double even = c.plan.burst() / 8; // so much had evenly is believed of one not heard of
         c.share = (c.ownUnits + even / c.spread) / (c.allUnits + even);
     }
@@ -613,8 +623,9 @@
     private void carryHeard(Customer c, boolean heard, double total) {
         c.asking = false;
         if (heard) {
-            c.level = Math.min(filled(c, c.carriedEpoch - 1) - total - c.uncounted, level(c));
-            c.levelAt = now;
+            double told = filled(c, c.carriedEpoch - 1) - total - c.uncounted;
+            c.level = c.guess = c.left = Math.min(told, level(c));
+            c.levelAt = c.guessAt = c.leftAt = now;
         }
     }
 
@@ -743,8 +754,9 @@
                 c.guess = guess(c) - untold / c.share;
                 c.guessAt = now;
                 c.uncounted += untold;
+                c.left = left(c) - untold;
                 c.level = level(c) - untold;
-                c.levelAt = now;
+                c.leftAt = c.levelAt = now;
             }
             at(Kind.DEADLINE, r.deadline, r);
             send(r, h);
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -439,6 +439,30 @@
         assertTrue(sent >= 3 && sent <= 9, "up to 4 a second for 2 s: " + sent);
     }
 
+    /** A counter that is back empty had each gateway hand out what the others had sent in the meantime. */
+    @Test void afterSilenceWhatOthersHaveSentIsNotGivenAgain() {
+        List<Bench> both = two();
+        long before = 0;
+        for (int t = 0; t < 12_000; t += 20) {
+            Gateway.Outcome outcome = t < 6000 || t >= 11_000 ? OK : Gateway.Outcome.NO_CONNECTION;
+            if (t == 11_000) {
+                both.get(0).sums.clear();
+                before = both.get(0).count("send") + both.get(1).count("send");
+            }
+            for (Bench b : both) {
+                b.to(t);
+                b.answerCounter(outcome);
+                b.arrive(t, "read", "rate", "c");
+                b.answerCounter(outcome);
+                for (long k = Math.max(0, t - 1000); k <= t; k += 20) {
+                    b.end(k, 0, OK);
+                }
+            }
+        }
+        long sent = both.get(0).count("send") + both.get(1).count("send") - before;
+        assertTrue(sent >= 4 && sent <= 13, "8 a second, the store was used up: " + sent);
+    }
+
     /** What was sent in silence was taken off the store again when the counter was back, filled up or not. */
     @Test void whatWasSentInSilenceLongAgoIsNotTakenOffAFullStore() {
         Bench b = new Bench().start().servers(8);
