--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -128,12 +128,16 @@
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch = Long.MIN_VALUE, carriedEpoch = Long.MIN_VALUE;
         int out;
+        double farFrom = Double.MAX_VALUE;
+        /** Where this gateway stands in the customer's set. */
+        final int place;
         boolean asking, inRing, doubted;
 
-        Customer(String name, Gateway.Plan plan, int spread, double now) {
+        Customer(String name, Gateway.Plan plan, int spread, int place, double now) {
             this.name = name;
             this.plan = plan;
             this.spread = Math.max(1, spread);
+            this.place = place;
             key = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
             seen = sharedAt = ceilingAt = levelAt = guessAt = leftAt = accruedAt = now;
             level = guess = left = plan.burst();
@@ -272,7 +276,8 @@
         }
         Customer c = customers.get(told.customer());
         if (c == null) {
-            c = new Customer(told.customer(), plan, told.spread(), now);
+            c = new Customer(told.customer(), plan, told.spread(),
+                Math.floorMod(set.me() - told.first(), set.nodes()), now);
             c.credits = alone(c) ? Math.floor(plan.burst() / c.spread) : 0;
             c.inside = usuallyInside;
             customers.put(told.customer(), c);
@@ -565,12 +570,18 @@
         double most = c.doubted ? Math.min(level(c), left(c)) : c.plan.burst();
         double excess = before - Math.max(-rate * longestAim, Math.min(before, most));
         boolean far = Math.abs(excess) > c.plan.burst() * DRIFT;
+        // one of a set goes first with a name that is new to all; what is missing may be on its way back
+        double after = excess < 0 ? SUBPERIOD : c.doubted ? c.place * set.allowed().counterTimeout() : 0;
+        c.farFrom = far ? Math.min(c.farFrom, now) : Double.MAX_VALUE;
         c.doubted &= far;
-        if (far) { // idle time, a new or lost name, lost calls: put right
+        boolean fix = far && now >= c.farFrom + after;
+        if (fix) { // idle time, a new or lost name, lost calls: put right
             c.fixed = excess;
+            c.farFrom = Double.MAX_VALUE;
             call(c, name(c, c.askEpoch), excess, Why.FIX);
         }
-        before -= far ? excess : Math.max(0, excess);
+        boolean untrue = excess < 0 && far && !fix; // read again at the next edge, and nothing had till then
+        before = untrue ? -rate * longestAim : before - (far ? excess : Math.max(0, excess));
         double wait = c.queue.isEmpty() ? 0 : lastCall(c.queue.last()) - now;
         double part = Math.floor(Math.max(0, Math.min(c.claimed, before + rate * wait)) + 1e-6);
         double ready = Math.floor(Math.max(0, Math.min(part, before)) + 1e-6);
@@ -580,13 +591,13 @@
             c.dueUnits++;
             at(Kind.RETRY, now + (k - before) / rate, null);
         }
-        c.level = c.guess = before - part;
+        c.level = c.guess = untrue ? 0 : before - part;
         double own = part + c.added - c.claimed;
         if (c.totalEpoch == c.askEpoch) {
             shared(c, Math.max(0, own), total + part - c.claimed - c.lastTotal);
         }
         c.totalEpoch = c.askEpoch;
-        c.lastTotal = total + part - c.claimed + (far ? excess : 0);
+        c.lastTotal = total + part - c.claimed + (fix ? excess : 0);
         c.left = c.level;
         c.levelAt = c.guessAt = c.leftAt = now;
         c.inside += (part / c.claimed - c.inside) / 2; // few readings, and the last tells most
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -381,6 +381,28 @@
         assertEquals(0, burst(both.get(1), 601, 8), "and used up");
     }
 
+    /** All put a new name right at once: until all but one took theirs back, it showed far too little. */
+    @Test void aNewNameIsPutRightByOneGatewayFirst() {
+        Map<Long, Double> counter = new HashMap<>();
+        long corrections = 0;
+        List<Bench> all = new ArrayList<>();
+        for (int n = 0; n < 4; n++) {
+            Bench b = new Bench();
+            b.me = n;
+            b.nodes = 4;
+            b.sums = counter;
+            b.now = 20_000;
+            all.add(b.start().servers(8));
+            b.arrive(n, "read", "rate", "c", 1, 4);
+        }
+        for (Bench b : all) {
+            b.answerCounter(OK);
+            corrections += b.log.stream().filter(l -> l.startsWith("count 1") && l.length() > 9).count();
+        }
+        assertEquals(1, corrections, "what the quota has filled in 20 s");
+        assertEquals(4, all.stream().mapToLong(b -> b.count("send")).sum());
+    }
+
     /** At a new name the gateway that had read the old one longest ago took its reading for the store's. */
     @Test void aNewNameDoesNotGiveWhatOthersHaveTaken() {
         List<Bench> both = two();
