--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -42,7 +42,8 @@
     private static final int CONNECT = 1000;
     /** The agent is on this machine and at no cost: after one that worked the next is tried at once. */
     private static final double BACKOFF = 10;
-    private static final double BACKOFF_MOST = 2000;
+    /** What the agent has counts as told: away for longer, a drain would be heard of past its grace. */
+    private static final double BACKOFF_MOST = 80;
     /** No list is as long as this (bytes); a line that grows past it ends the connection. */
     private static final int LINE = 8 << 20;
 
--- a/src/test/java/willowyoke/net/WatchTest.java
+++ b/src/test/java/willowyoke/net/WatchTest.java
@@ -36,4 +36,15 @@
         }
         assertTrue(least < 190, "took " + least + " ms; 200 and more before");
     }
+
+    /** What the agent has counts as told: a node that stayed away for up to 2 s heard of a drain too late. */
+    @Test void anAgentThatEndsEachWatchIsAskedAgainSoon() throws Exception {
+        start();
+        watch.close();
+        for (int i = 0; i < 10; i++) {
+            Peer.Line again = discovery.poll(1000);
+            assertNotNull(again, "after " + i);
+            again.close();
+        }
+    }
 }
