--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -47,7 +47,7 @@
     private static final double CALL_QUICK = 1.0 / 4;
     /** One past this share was long in line: calls that are added to that line come too late. */
     private static final double CALL_SLOW = 1.0 / 2;
-    /** Each such call takes a tenth off, and one that is lost more: it stays in line when no one waits for it. */
+    /** A slow call takes a tenth off the bound, a lost one more: it stays in line though no one waits. */
     private static final double CALLS_DOWN = 0.9;
     private static final double CALLS_DOWN_LOST = 0.7;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
