--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -36,6 +37,16 @@
     /** A client that does not read what it is owed is cut off this long (ms) after the end. */
     private static final int UNREAD = 2000;
 
+    private static final int BACKLOG = 1024;
+    /** Connections accepted in one round of the loop. */
+    private static final int ACCEPTS = 16;
+    /** No connection for so long (ms): the queue is as good as seen empty. */
+    private static final double QUIET = 30;
+    /** While the node ends, connections are looked through this often (ms) for those that can be ended. */
+    private static final double LEAVING_SWEEP = 50;
+    /** A connection that has sent nothing is let wait for its first command so long (ms) at the end. */
+    private static final double FIRST_COMMAND = 1000;
+
     private final Node node;
     private final int most;
     private final Set<Connection> open = new LinkedHashSet<>();
@@ -43,6 +54,7 @@
     private final Set<Connection> silent = new LinkedHashSet<>();
     private Channel listener;
     private boolean closing;
+    private boolean unbinding;
 
     ClientListener(Node node, int most) {
         this.node = node;
@@ -52,10 +64,13 @@
     /** Binds; throws where the address cannot be had. */
     SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
         return new ServerBootstrap().group(group).channel(Transport.listener())
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
                     listener = channel; // on the loop: a client may come before bind has returned
+                    channel.pipeline().addLast(new Queue());
                 }
             })
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -70,6 +85,25 @@
             }).bind(address).sync().channel().localAddress();
     }
 
+    /** Sees the listener's queue run empty: only then nothing that waits in it is reset by a close. */
+    private final class Queue extends ChannelInboundHandlerAdapter {
+        private int accepted;
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            accepted++;
+            ctx.fireChannelRead(msg);
+        }
+
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            boolean empty = accepted < ACCEPTS; // else the bound of a round ended it
+            accepted = 0;
+            if (unbinding && empty) {
+                ctx.close();
+            }
+            ctx.fireChannelReadComplete();
+        }
+    }
+
     void start() {
         node.after(SWEEP, this::sweep);
     }
@@ -102,22 +136,35 @@
                 }
             }
         }
-        listener.config().setAutoRead(open.size() < most + Math.max(1, most / 16));
+        listener.config().setAutoRead(unbinding || open.size() < most + Math.max(1, most / 16));
     }
 
-    /** Ends the connections that are between requests, and from now on each after its last answer. */
+    /** From now on each connection ends behind its next answer. */
     void close() {
         closing = true;
+    }
+
+    /**
+     * Ends the connections that are between requests. Where a command has begun, or may well be on its way on
+     * a new connection, it is let come: ended on it, the client would have to ask elsewhere.
+     */
+    void closeIdle() {
         for (Connection c : open.toArray(new Connection[0])) {
-            if (c.slots.isEmpty()) {
-                c.finish();
+            if (c.between() && (!silent.contains(c) || c.bornAt < node.now() - FIRST_COMMAND)) {
+                node.after(1, c::finishIdle); // what has come by now is read first
             }
         }
+        if (!open.isEmpty()) {
+            node.after(LEAVING_SWEEP, this::closeIdle);
+        }
     }
 
+    /** Listens no more, from the next moment on at which no connection waits to be accepted. */
     void unbind() {
+        unbinding = true;
         if (listener != null) { // told to end before it was bound
-            listener.close();
+            listener.config().setAutoRead(true);
+            node.after(QUIET, listener::close);
         }
     }
 
@@ -231,6 +278,17 @@
             }
         }
 
+        /** Nothing is asked and nothing has begun to come. */
+        private boolean between() {
+            return slots.isEmpty() && raw.pending == 0 && !deaf;
+        }
+
+        private void finishIdle() {
+            if (between()) {
+                finish();
+            }
+        }
+
         /** Ends our side after what is written, then waits for the client's: a reset could eat an answer. */
         private void finish() {
             if (!finished) {
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -11,12 +11,12 @@
 import willowyoke.SettingsReader;
 
 /**
- * What this edge node is told at its start. The times are milliseconds; counter and known are null where the
- * file has none.
+ * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
+ * where it is told none. The folder is the one place where it may write.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-    InetSocketAddress counter, long seed, int sockets, Json known, Gateway.Settings settings,
-    double keepAlive, double connectTimeout) {
+    InetSocketAddress counter, InetSocketAddress control, Path folder, long seed, int sockets, Json known,
+    Gateway.Settings settings, double keepAlive, double connectTimeout) {
 
     /** Where the settings say nothing of connections. */
     private static final double KEEP_ALIVE = 15_000;
@@ -45,10 +45,13 @@
         double idle = SettingsReader.number(keys, "limits.keepalive");
         double connect = SettingsReader.number(keys, "limits.connect_timeout");
         String counter = root.get("counter").text("");
+        String control = env.getOrDefault("EDGE_CONTROL", root.get("control").text(""));
         return new Config(text(env, "EDGE_NAME", root, "name"),
             address(text(env, "EDGE_LISTEN", root, "listen")),
             address(text(env, "EDGE_DISCOVERY", root, "discovery")),
-            counter.isEmpty() ? null : address(counter), seed(root.get("seed").text("0")),
+            counter.isEmpty() ? null : address(counter), control.isEmpty() ? null : address(control),
+            Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))),
+            seed(root.get("seed").text("0")),
             (int) root.get("limits").get("sockets").number(SOCKETS),
             root.get("known").isNull() ? null : root.get("known"), SettingsReader.read(keys),
             idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -41,6 +41,9 @@
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
+    /** SIGKILL comes no sooner than 0.7 s behind the longest deadline, and that counts as 3 s at least. */
+    private static final double LEAST_TO_END = 3000;
+    private static final double TO_END = 600;
     /** Of the sockets that may be held: files, counter, discovery and the loop's own take the rest. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.3;
@@ -92,12 +95,17 @@
     private final ServerPool servers;
     private final CounterClient counter;
     private final Discovery discovery;
+    private final AdminServer admin;
+    private final Handover handover;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
     private long held;
     private int logged;
-    private SocketAddress address;
+    private volatile SocketAddress address;
+    private volatile SocketAddress control;
+    /** Set at SIGTERM: by then (ms) all is answered, as the process may be killed right after. */
+    private double endsAt = Double.MAX_VALUE;
 
     public Node(Config config, Maker maker) {
         this.config = config;
@@ -107,12 +115,17 @@
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
         discovery = new Discovery(this, group, config);
+        admin = new AdminServer(this);
+        handover = new Handover(config.folder(), config.name());
     }
 
     // ---- life ----
 
     /** Comes up, and listens only once it is ready: a front takes in what answers. */
     public void start() throws IOException {
+        if (config.control() != null) {
+            control = admin.bind(group, config.control()); // from here on who asks is told: not yet
+        }
         CompletableFuture<Void> ready = new CompletableFuture<>();
         group.execute(() -> {
             try {
@@ -144,7 +157,9 @@
             throw new IOException(e);
         }
         try {
-            address = clients.bind(group, config.listen());
+            SocketAddress bound = clients.bind(group, config.listen());
+            handover.claim();
+            address = bound;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -172,27 +187,47 @@
         return address;
     }
 
-    /** SIGTERM: answers all that is taken and then ends; returns when that is done. */
+    SocketAddress control() {
+        return control;
+    }
+
+    /** Whether clients are taken: the listener is up and is to stay. */
+    boolean taking() {
+        return address != null && endsAt == Double.MAX_VALUE;
+    }
+
+    /**
+     * SIGTERM: answers all that is taken and then ends; returns when that is done. Where a new process has
+     * taken this one's place new connections are its own at once, and what comes on old ones is soon so.
+     */
     public void drain() {
         double longest = config.settings().classes().stream()
             .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
+        boolean succeeded = handover.succeeded();
         group.execute(() -> {
-            after(STAY_OPEN, clients::close);
-            after(LISTEN_ON, () -> {
+            endsAt = now() + Math.max(longest, LEAST_TO_END) + TO_END;
+            if (succeeded) {
                 clients.unbind();
-                whenIdle(now() + longest + STAY_OPEN);
+                clients.close();
+            } else {
+                after(LISTEN_ON, clients::unbind);
+            }
+            after(STAY_OPEN, () -> {
+                clients.close();
+                clients.closeIdle();
             });
+            after(succeeded ? STAY_OPEN : LISTEN_ON, this::whenIdle);
         });
         ended.join();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
     /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
-    private void whenIdle(double until) {
-        if (clients.idle() || now() >= until) {
+    private void whenIdle() {
+        if (clients.idle() || now() >= endsAt) {
             ended.complete(null);
         } else {
-            after(5, () -> whenIdle(until));
+            after(5, this::whenIdle);
         }
     }
 
@@ -280,7 +315,7 @@
         if (!ids.add(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
-        double patience = Math.max(1, call.patience() - WAY_BACK);
+        double patience = Math.max(1, Math.min(call.patience(), endsAt - now) - WAY_BACK);
         Request r = new Request(++lastId, slot, retained(command), call, now + patience);
         slot.request = r;
         held += r.bytes;
--- a/src/main/java/willowyoke/net/Rehearsal.java
+++ b/src/main/java/willowyoke/net/Rehearsal.java
@@ -17,8 +17,8 @@
  */
 public final class Rehearsal implements AutoCloseable {
     private static final String CONFIG = """
-        {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","counter":"127.0.0.1:%1$d",
-         "seed":"1","known":%2$s,
+        {"name":"rehearsal","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"127.0.0.1:%1$d",
+         "counter":"127.0.0.1:%1$d","seed":"1","known":%2$s,
          "settings":{"rank":0,"group_size":2,"tick":4,"feedback":{"fields":["utilization"]},
           "limits":{"probing":true,"cancelling":true,"retry_after":true,"send_cap":5,"max_retry_after":2000},
           "family_info":{"shared_counter":true,"most_units":2,"count_limit":80},
@@ -56,9 +56,19 @@
             client.getOutputStream().write("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII));
             client.getInputStream().read();
         }
+        call(node, "GET " + AdminServer.HEALTH);
         Files.delete(file);
     }
 
+    private static void call(Node node, String call) throws IOException {
+        InetSocketAddress at = (InetSocketAddress) node.control();
+        try (Socket operator = new Socket(at.getAddress(), at.getPort())) {
+            operator.getOutputStream().write((call + " HTTP/1.1\r\nHost: edge\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
+            operator.getInputStream().readAllBytes();
+        }
+    }
+
     @Override public void close() throws IOException {
         peers.close();
     }
--- a/src/test/java/willowyoke/net/NodeFixture.java
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import willowyoke.Gateway;
 
 /** A real edge node between peers on loopback sockets, with a scripted module for the decisions. */
@@ -89,6 +91,8 @@
         }
     }
 
+    /** The folder that is kept when a new version comes up beside this one. */
+    @TempDir Path state;
     final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     final List<AutoCloseable> open = new ArrayList<>();
     Peer app;
@@ -99,6 +103,7 @@
     Node node;
     boolean drained;
     int sockets = 256;
+    int listen;
     int keepAlive = 15_000;
     volatile int failTimers;
 
@@ -135,7 +140,8 @@
 
     String config() {
         return """
-            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+            {"name":"n0","listen":"127.0.0.1:%d","control":"127.0.0.1:0","discovery":"%s",
+             "seed":"8c1f30d27a5be964",
              "limits":{"sockets":%d},"counter":"%s","known":%s,
              "settings":{"rank":0,"group_size":4,"feedback":{"fields":["utilization","outstanding"]},
               "family_info":{"shared_counter":true,"count_limit":80,"most_units":2},
@@ -143,13 +149,13 @@
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000},
                 {"name":"write","effect":"idempotency_key","aim":600,"hard_limit":2000}],
               "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
-            .formatted(discovery.address(), sockets,
+            .formatted(listen, discovery.address(), sockets,
             counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
     }
 
     void start() throws Exception {
         Script script = new Script();
-        Config config = Config.of(Json.read(config()), Map.of());
+        Config config = Config.of(Json.read(config()), Map.of("TMPDIR", state.toString()));
         node = new Node(config, (settings, seed, now, actions) -> {
             script.act = actions;
             assertEquals(4, settings.nodes());
@@ -185,6 +191,24 @@
         return line;
     }
 
+    /** A call at the operators' door of this node; its status, and what came with it. */
+    static List<String> admin(Node at, String method, String path) throws IOException {
+        try (Peer.Line line = Peer.Line.to(((InetSocketAddress) at.control()).getPort())) {
+            line.write(method + " " + path + " HTTP/1.1\r\nHost: edge\r\n\r\n");
+            return answer(line);
+        }
+    }
+
+    static List<String> answer(Peer.Line line) throws IOException {
+        String status = line.line();
+        String head = line.line();
+        while (!head.isEmpty()) {
+            head = line.line();
+        }
+        return List.of(status.split(" ")[1],
+            new String(line.in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8));
+    }
+
     static void get(Peer.Line client, String id, String type, int wait) throws IOException {
         client.command("CALL.GET", CUSTOMER, id, "c=" + type + ",t=p,d=" + wait
             + ",units=2,spread=3,first=1");
