--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -56,6 +56,9 @@
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
+    /** A server back from the operators is tried between these (ms): gateways must not all come at once. */
+    private static final double BACK_FROM = 300;
+    private static final double BACK_TO = 3500;
 
     // ---- state ----
 
@@ -187,6 +190,10 @@
         final String id;
         Gateway.Server told;
         boolean listed = true;
+        /** In the list at all, if only to drain; taken out by hand. */
+        boolean present, cordoned;
+        /** When a server that was put back is owed its first request. */
+        double backAt = Double.MAX_VALUE;
         final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
         double slow = 1, slowAt;
         double limit = 4; // at first about two for each core of a small machine
@@ -198,6 +205,12 @@
         Host(String id) {
             this.id = id;
         }
+
+        static Host unlisted(String id) {
+            Host h = new Host(id);
+            h.listed = false;
+            return h;
+        }
     }
 
     private enum Why { CLAIM, FIX, GIVE, CARRY, TAKE_SLOT, GIVE_SLOT }
@@ -234,24 +247,23 @@
         begin(time);
         if (whole) {
             for (Host h : hosts.values()) {
-                h.listed = false;
+                h.listed = h.present = false;
             }
         }
         for (Gateway.Server s : list) {
             Host h = hosts.computeIfAbsent(s.id(), Host::new);
             h.listed = s.state() == Gateway.State.UP;
+            h.present = s.state() != Gateway.State.GONE;
             boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
             h.told = s;
             if (s.startedAt() > 0 && s.startedAt() + set.rules().warmAfter() > now) {
                 cold(h, s.startedAt());
             }
             if (restarted) {
-                h.fails = h.ejectedUntil = h.ejections = 0;
-                h.slow = 1;
-                h.failing.clear();
+                asNew(h);
             }
         }
-        up = (int) hosts.values().stream().filter(h -> h.listed).count();
+        countUp();
         if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
             paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
             paceCredit = Math.max(2, paceRate * SUBPERIOD / 1000);
@@ -259,6 +271,64 @@
         pump();
     }
 
+    private void countUp() {
+        up = (int) hosts.values().stream().filter(h -> h.listed && !h.cordoned).count();
+    }
+
+    /** Nothing that was learnt of the process before holds for this one. */
+    private static void asNew(Host h) {
+        h.fails = h.ejectedUntil = h.ejections = 0;
+        h.slow = 1;
+        h.failing.clear();
+    }
+
+    @Override public boolean cordon(double time, String server, boolean out) {
+        begin(time);
+        Host h = hosts.get(server);
+        if (h == null || h.told == null && !h.cordoned) {
+            return false;
+        }
+        cordon(h, out);
+        pump();
+        return true;
+    }
+
+    @Override public void cordons(double time, Set<String> servers) {
+        begin(time);
+        for (String server : servers) { // those too that the list is yet to name
+            cordon(hosts.computeIfAbsent(server, Host::unlisted), true);
+        }
+        for (Host h : hosts.values()) {
+            if (!servers.contains(h.id)) {
+                cordon(h, false);
+            }
+        }
+        pump();
+    }
+
+    /** Out: nothing new, whatever the list says. Back: it may have restarted meanwhile, so it is cold. */
+    private void cordon(Host h, boolean out) {
+        if (h.cordoned == out) {
+            return;
+        }
+        h.cordoned = out;
+        countUp();
+        if (out) {
+            act.withdraw(h.id);
+        } else {
+            asNew(h);
+            h.trial = h.wasDead = false;
+            cold(h, now);
+            h.backAt = now + BACK_FROM + (BACK_TO - BACK_FROM) * random.nextDouble();
+            at(Kind.RETRY, h.backAt, null);
+        }
+    }
+
+    @Override public int avoided(double time) {
+        return (int) hosts.values().stream()
+            .filter(h -> h.present && (!h.listed || h.cordoned || time < h.ejectedUntil)).count();
+    }
+
     @Override public void discoveryFailed(double time) {
         begin(time);
         if (set.mustAsk()) {
@@ -803,9 +873,13 @@
         Host best = null;
         double bestScore = 0;
         for (Host h : hosts.values()) {
-            if (!mayGet(r, h) || !room(h)) {
+            boolean back = now >= h.backAt;
+            if (!mayGet(r, h) || !back && !room(h)) {
                 continue;
             }
+            if (back) {
+                return h; // quick servers without a queue would leave a cold one unused
+            }
             double score = (h.out.size() + 1) * slowness(h) / Math.sqrt(warmth(h));
             boolean been = r.attempts.stream().anyMatch(a -> a.host == h);
             score *= (1 + 0.1 * random.nextDouble()) * (1 + 8 * failing(h, r.type)) * (been ? 8 : 1);
@@ -900,13 +974,17 @@
         if (h.fails < 3 && !h.trial || now < h.ejectedUntil) {
             return;
         }
-        if (2 * hosts.values().stream().filter(o -> o.listed && now < o.ejectedUntil).count() + 2 <= up) {
+        if (2 * hosts.values().stream().filter(this::ejected).count() + 2 <= up) {
             h.ejectedUntil = now + EJECT * Math.pow(2, h.ejections);
             h.ejections = Math.min(h.ejections + 1, EJECT_DOUBLINGS);
             h.trial = true;
         }
     }
 
+    private boolean ejected(Host h) {
+        return h.listed && !h.cordoned && now < h.ejectedUntil;
+    }
+
     // ---- attempts: sends, retries ----
 
     private void send(Req r, Host h) {
@@ -917,6 +995,7 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
+        h.backAt = now >= h.backAt ? Double.MAX_VALUE : h.backAt;
         sentInPeriod++;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
@@ -972,7 +1051,8 @@
 
     /** Drains, ejections, groups and cold budgets: may this request go to this server now? */
     private boolean mayGet(Req r, Host h) {
-        return h.listed && now >= h.ejectedUntil && inGroup(r, h) && (warmth(h) >= 1 || coldBudget(h) >= 1);
+        return h.listed && !h.cordoned && now >= h.ejectedUntil && inGroup(r, h)
+            && (warmth(h) >= 1 || now >= h.backAt || coldBudget(h) >= 1);
     }
 
     /**
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -1,6 +1,7 @@
 package willowyoke;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a host and the decision module say to each other. A host calls {@link Events}; the module answers by
@@ -84,6 +85,19 @@
         void probed(double now, String server, Outcome outcome, double took, double[] load);
 
         void counted(double now, long name, Outcome outcome, double took, double total);
+
+        /** An operator takes a server out, or puts it back; false where no list has ever named it. */
+        default boolean cordon(double now, String server, boolean out) {
+            return false;
+        }
+
+        /** The servers that are out by hand, as they are kept: these and no others. */
+        default void cordons(double now, Set<String> servers) { }
+
+        /** How many servers of the list get nothing new at present, for whatever reason. */
+        default int avoided(double now) {
+            return 0;
+        }
     }
 
     /** What an instance asks of its host. */
@@ -103,5 +117,8 @@
         void count(long name, double amount, double keepFor);
 
         void subscribe();
+
+        /** What still waits for a connection to this server must not go there any more. */
+        default void withdraw(String server) { }
     }
 }
--- a/src/main/java/willowyoke/net/AdminServer.java
+++ b/src/main/java/willowyoke/net/AdminServer.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.io.IOException;
@@ -38,6 +39,8 @@
  */
 final class AdminServer {
     static final String HEALTH = "/admin/health";
+    private static final String CORDON = "/admin/cordon/";
+    static final String UNCORDON = "/admin/uncordon/";
     private static final int BACKLOG = 128;
     /** Calls are short, and so is every head that a sane caller sends (bytes). */
     private static final int LINE = 1024;
@@ -124,9 +127,19 @@
         }
 
         private void route(HttpMethod method, String uri) {
-            int query = uri.indexOf('?');
-            String path = query < 0 ? uri : uri.substring(0, query);
-            if (path.equals(HEALTH)) {
+            String path;
+            try {
+                path = new QueryStringDecoder(uri).path();
+            } catch (IllegalArgumentException e) { // half an escape
+                answer(HttpResponseStatus.BAD_REQUEST, "malformed\n");
+                return;
+            }
+            if (path.startsWith(CORDON) || path.startsWith(UNCORDON)) {
+                if (allowed(method, HttpMethod.POST)) {
+                    boolean out = path.startsWith(CORDON);
+                    node.cordon(path.substring((out ? CORDON : UNCORDON).length()), out, this::cordoned);
+                }
+            } else if (path.equals(HEALTH)) {
                 if (allowed(method, HttpMethod.GET)) {
                     boolean yes = node.taking();
                     answer(yes ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -137,6 +150,14 @@
             }
         }
 
+        private void cordoned(Cordons.Result result) {
+            switch (result) {
+                case DONE -> answer(HttpResponseStatus.OK, "done\n");
+                case UNKNOWN -> answer(HttpResponseStatus.NOT_FOUND, "no list has named it\n");
+                default -> answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not kept\n");
+            }
+        }
+
         private boolean allowed(HttpMethod method, HttpMethod only) {
             if (method.equals(only)) {
                 return true;
--- /dev/null
+++ b/src/main/java/willowyoke/net/Cordons.java
@@ -0,0 +1,124 @@
+package willowyoke.net;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+/**
+ * Keeps which servers are out by hand, in a file that the next process of this edge node finds. What is out
+ * is the module's to know; this is its memory past the process's end. The file has a server a line and is
+ * replaced whole. It is read again all the time: while a new version comes up, calls reach one process and
+ * bind both.
+ */
+final class Cordons {
+    /** How a call ended: known and kept; no server; in force here, but not kept for the next process. */
+    enum Result { DONE, UNKNOWN, NOT_KEPT }
+
+    /** Between readings (ms): a call binds the other process 1 s later at the latest. */
+    private static final double READ_EVERY = 200;
+
+    private final Node node;
+    private final Path file;
+    private final ExecutorService files = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "cordons");
+        thread.setDaemon(true);
+        return thread;
+    });
+    /** Calls so far: a reading that began before the last one is old. */
+    private long calls;
+    /** Calls on their way to the file. */
+    private int writing;
+    /** Whether the file has all calls; else it must not take back what was said. */
+    private boolean kept = true;
+    /** As last read or written by the thread of the files. */
+    private Set<String> last = Set.of();
+
+    Cordons(Node node, Path folder, String name) {
+        this.node = node;
+        file = folder.resolve("cordons-" + name);
+    }
+
+    /** Reads on from the loop, for as long as the node runs. */
+    void start() {
+        long asOf = calls;
+        files.execute(() -> {
+            Set<String> before = last;
+            Set<String> now = load();
+            last = now;
+            if (!now.equals(before)) {
+                node.later(() -> {
+                    if (asOf == calls && writing == 0 && kept) {
+                        node.cordons(now);
+                    }
+                });
+            }
+        });
+        node.after(READ_EVERY, this::start);
+    }
+
+    /** Takes a server out or puts it back: here at once, and answered when that is kept. */
+    void call(String server, boolean out, Consumer<Result> answer) {
+        if (!node.cordon(server, out)) {
+            answer.accept(Result.UNKNOWN);
+            return;
+        }
+        calls++;
+        writing++;
+        files.execute(() -> {
+            boolean done = keep(server, out);
+            node.later(() -> {
+                writing--;
+                kept = done;
+                answer.accept(done ? Result.DONE : Result.NOT_KEPT);
+            });
+        });
+    }
+
+    /** What is kept; blocks. A line that is not whole, or a file that cannot be read, keeps no start back. */
+    Set<String> load() {
+        try {
+            String text = new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
+            Set<String> servers = new TreeSet<>();
+            int from = 0;
+            for (int to = text.indexOf('\n'); to >= 0; to = text.indexOf('\n', from)) {
+                servers.add(text.substring(from, to));
+                from = to + 1;
+            }
+            return servers;
+        } catch (NoSuchFileException e) {
+            return Set.of();
+        } catch (IOException e) {
+            System.err.println("cordons: " + e);
+            return last;
+        }
+    }
+
+    private boolean keep(String server, boolean out) {
+        try {
+            Set<String> servers = new TreeSet<>(load()); // another process may have written since
+            if (out) {
+                servers.add(server);
+            } else {
+                servers.remove(server);
+            }
+            StringBuilder text = new StringBuilder();
+            servers.forEach(each -> text.append(each).append('\n'));
+            Path next = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+            Files.writeString(next, text);
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            last = servers;
+            return true;
+        } catch (IOException e) {
+            System.err.println("cordons: " + e);
+            return false;
+        }
+    }
+}
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -97,6 +97,7 @@
     private final Discovery discovery;
     private final AdminServer admin;
     private final Handover handover;
+    private final Cordons cordons;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
@@ -117,6 +118,7 @@
         discovery = new Discovery(this, group, config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
+        cordons = new Cordons(this, config.folder(), config.name());
     }
 
     // ---- life ----
@@ -126,6 +128,7 @@
         if (config.control() != null) {
             control = admin.bind(group, config.control()); // from here on who asks is told: not yet
         }
+        Set<String> out = cordons.load();
         CompletableFuture<Void> ready = new CompletableFuture<>();
         group.execute(() -> {
             try {
@@ -134,6 +137,8 @@
                 ready.completeExceptionally(e);
                 return;
             }
+            cordons(out); // before the first attempt
+            cordons.start();
             discovery.start(config.known());
             counter.start();
             servers.start();
@@ -426,6 +431,26 @@
         tell(m -> m.discoveryFailed(now()));
     }
 
+    // ---- from operators ----
+
+    /** One call of the operators, with what becomes of it. */
+    void cordon(String server, boolean out, Consumer<Cordons.Result> answer) {
+        if (module == null) { // too early to know any server
+            answer.accept(Cordons.Result.NOT_KEPT);
+        } else {
+            cordons.call(server, out, answer);
+        }
+    }
+
+    boolean cordon(String server, boolean out) {
+        boolean[] known = new boolean[1];
+        return tell(m -> known[0] = m.cordon(now(), server, out)) && known[0];
+    }
+
+    void cordons(Set<String> servers) {
+        tell(m -> m.cordons(now(), servers));
+    }
+
     // ---- actions of the module ----
 
     @Override public void send(long id, String server, double until) {
@@ -490,4 +515,8 @@
     @Override public void subscribe() {
         discovery.subscribe();
     }
+
+    @Override public void withdraw(String server) {
+        servers.withdraw(server);
+    }
 }
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -158,10 +158,21 @@
 
     /** Nothing new goes to a server that drains, is gone or has moved; what is out there may end. */
     private void leave(Target t) {
-        if (t == null) {
-            return;
+        if (t != null) {
+            t.up = false;
+            withdraw(t);
+        }
+    }
+
+    /** Nothing that waits goes to this server any more; the list's word on it stands. */
+    void withdraw(String server) {
+        Target t = targets.get(server);
+        if (t != null) {
+            withdraw(t);
         }
-        t.up = false;
+    }
+
+    private void withdraw(Target t) {
         for (Link link : t.idle.toArray(new Link[0])) {
             link.channel.close();
         }
@@ -171,6 +182,11 @@
         }
     }
 
+    /** How many servers the list has. */
+    int listed() {
+        return targets.size();
+    }
+
     void start() {
         node.after(SWEEP, this::sweep);
     }
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -170,4 +170,8 @@
     @Override public void subscribe() {
         log.add("subscribe");
     }
+
+    @Override public void withdraw(String server) {
+        log.add("withdraw " + server);
+    }
 }
--- /dev/null
+++ b/src/test/java/willowyoke/net/CordonsTest.java
@@ -0,0 +1,70 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Calls that take servers out, and what is kept of them. */
+class CordonsTest extends NodeFixture {
+    private Path file() {
+        return state.resolve("cordons-n0");
+    }
+
+    @Test void aYesIsKeptAndANoIsNot() throws Exception {
+        start();
+        assertEquals(List.of("200", "done\n"), admin(node, "POST", "/admin/cordon/s0"));
+        expect("cordon s0");
+        assertEquals("s0\n", Files.readString(file()));
+        assertEquals("200", admin(node, "POST", "/admin/cordon/s0").get(0));
+        assertEquals("s0\n", Files.readString(file()));
+        expect("cordon s0");
+        assertEquals("404", admin(node, "POST", "/admin/cordon/s1").get(0));
+        expect("cordon s1");
+        assertEquals("404", admin(node, "POST", "/admin/uncordon/").get(0));
+        expect("uncordon ");
+        assertEquals("405", admin(node, "GET", "/admin/cordon/s0").get(0));
+        assertEquals("400", admin(node, "POST", "/admin/cordon/s%").get(0));
+        assertEquals("s0\n", Files.readString(file()));
+        assertEquals("200", admin(node, "POST", "/admin/uncordon/s%30").get(0));
+        expect("uncordon s0");
+        assertEquals("", Files.readString(file()));
+    }
+
+    /** The next process has it before its first attempt, and a file cut off anywhere keeps none back. */
+    @Test void theNextProcessReadsWhatIsKept() throws Exception {
+        Files.writeString(file(), "s0\ns1\ns-to");
+        start("cordons [s0, s1]");
+        assertEquals("200", admin(node, "POST", "/admin/uncordon/s0").get(0));
+        assertEquals("s1\n", Files.readString(file()));
+    }
+
+    @Test void noFileStopsAStart() throws Exception {
+        Files.createDirectory(file()); // cannot be read, nor written
+        start();
+        assertEquals("503", admin(node, "POST", "/admin/cordon/s0").get(0));
+        expect("cordon s0");
+    }
+
+    /** While a new version comes up each process hears what the other was told. */
+    @Test void whatAnotherProcessKeepsBindsThisOne() throws Exception {
+        start();
+        Path next = state.resolve("next");
+        Files.writeString(next, "s5\n");
+        Files.move(next, file(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        expect("cordons [s5]");
+        assertEquals("200", admin(node, "POST", "/admin/cordon/s0").get(0));
+        assertEquals(Set.of("s0", "s5"), Set.copyOf(Files.readAllLines(file())));
+    }
+
+    /** Its idle connections end too: it is about to be restarted, and each would be found dead by a request. */
+    @Test void aServerThatIsOutKeepsNoIdleConnections() throws Exception {
+        start();
+        assertEquals("200", admin(node, "POST", "/admin/cordon/s0").get(0));
+        assertTrue(server.ended());
+    }
+}
--- a/src/test/java/willowyoke/net/NodeFixture.java
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
     /** Notes what it is told and acts by the class of a request: most go to server s0. */
     final class Script implements Gateway.Events {
         Gateway.Actions act;
+        private Set<String> cordoned = Set.of();
 
         @Override public void servers(double now, List<Gateway.Server> list, boolean whole) {
             StringBuilder text = new StringBuilder(whole ? "whole" : "changes");
@@ -33,6 +35,19 @@
             told.add(text.toString());
         }
 
+        @Override public boolean cordon(double now, String server, boolean out) {
+            told.add((out ? "cordon " : "uncordon ") + server);
+            act.withdraw(server);
+            return server.equals("s0");
+        }
+
+        @Override public void cordons(double now, Set<String> servers) {
+            if (!servers.equals(cordoned)) { // the first telling is of none, as a rule
+                cordoned = servers;
+                told.add("cordons " + servers);
+            }
+        }
+
         @Override public void discoveryFailed(double now) {
             told.add("discovery failed");
         }
@@ -153,7 +168,8 @@
             counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
     }
 
-    void start() throws Exception {
+    /** Starts, and expects what the module is told before and with the list known at the start. */
+    void start(String... before) throws Exception {
         Script script = new Script();
         Config config = Config.of(Json.read(config()), Map.of("TMPDIR", state.toString()));
         node = new Node(config, (settings, seed, now, actions) -> {
@@ -173,6 +189,9 @@
         node.start();
         watching.join();
         server = app.accept(); // the connection made ahead
+        for (String each : before) {
+            expect(each);
+        }
         expect("whole s0 UP");
     }
 
