--- a/src/main/java/willowyoke/net/AdminServer.java
+++ b/src/main/java/willowyoke/net/AdminServer.java
@@ -39,6 +39,7 @@
  */
 final class AdminServer {
     static final String HEALTH = "/admin/health";
+    static final String STATS = "/admin/stats";
     private static final String CORDON = "/admin/cordon/";
     static final String UNCORDON = "/admin/uncordon/";
     private static final int BACKLOG = 128;
@@ -145,6 +146,12 @@
                     answer(yes ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                         yes ? "takes clients\n" : "takes no clients\n");
                 }
+            } else if (path.equals(STATS)) {
+                if (allowed(method, HttpMethod.GET)) {
+                    FullHttpResponse figures = response(HttpResponseStatus.OK, node.figures());
+                    figures.headers().set(HttpHeaderNames.CONTENT_TYPE, Metrics.CONTENT_TYPE);
+                    write(figures);
+                }
             } else {
                 answer(HttpResponseStatus.NOT_FOUND, "no such call\n");
             }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -98,9 +98,12 @@
     private final AdminServer admin;
     private final Handover handover;
     private final Cordons cordons;
+    private final Metrics metrics;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
+    /** Requests taken and not ended: fewer than the table has, as attempts may outlive their request. */
+    private int openRequests;
     private long held;
     private int logged;
     private volatile SocketAddress address;
@@ -118,6 +121,7 @@
         discovery = new Discovery(this, group, config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
+        metrics = new Metrics(config.settings().classes());
         cordons = new Cordons(this, config.folder(), config.name());
     }
 
@@ -324,6 +328,7 @@
         Request r = new Request(++lastId, slot, retained(command), call, now + patience);
         slot.request = r;
         held += r.bytes;
+        openRequests++;
         requests.put(r.id, r);
         r.timer = after(patience + 1, () -> waited(r));
         if (!tell(m -> m.arrived(now, new Gateway.Request(r.id, call.type(), call.plan(), call.customer(),
@@ -351,7 +356,7 @@
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
     void giveUp(Request r) {
         if (!r.over) {
-            answer(r, new ErrorRedisMessage("ERR failed"));
+            fail(r);
             tell(m -> m.gone(now(), r.id));
         }
     }
@@ -364,14 +369,25 @@
         }
     }
 
-    private void answer(Request r, RedisMessage message) {
+    private void fail(Request r) {
+        answer(r, new ErrorRedisMessage("ERR failed"), Metrics.Outcome.FAULTED);
+    }
+
+    private void answer(Request r, RedisMessage message, Metrics.Outcome outcome) {
+        last(r, message, outcome);
+        settle(r);
+    }
+
+    /** The one answer of a request, and the one place where its outcome is counted. */
+    private void last(Request r, RedisMessage message, Metrics.Outcome outcome) {
         over(r);
+        metrics.ended(r.call.type(), outcome);
         r.slot.answer(message);
-        settle(r);
     }
 
     private void over(Request r) {
         r.over = true;
+        openRequests--;
         r.slot.request = null;
         if (r.out == 0) {
             r.timer.cancel(false);
@@ -394,13 +410,17 @@
 
     // ---- from servers, counter and discovery ----
 
+    /** An attempt's last byte is written. */
+    void relayed() {
+        metrics.relayed();
+    }
+
     void attemptEnded(ServerPool.Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
         Request r = a.request;
         r.out--;
         double now = now();
         if (outcome == Gateway.Outcome.OK && !r.over) {
-            over(r);
-            r.slot.answer(ReferenceCountUtil.retain(value));
+            last(r, ReferenceCountUtil.retain(value), Metrics.Outcome.FULFILLED);
         }
         boolean told = tell(m -> m.ended(now, r.id, a.number, outcome, now - a.sent, r.over, 0, load));
         if (!told) {
@@ -433,6 +453,14 @@
 
     // ---- from operators ----
 
+    String figures() {
+        int[] avoided = new int[1];
+        if (module != null) {
+            tell(m -> avoided[0] = m.avoided(now()));
+        }
+        return metrics.text(openRequests, servers.listed(), avoided[0]);
+    }
+
     /** One call of the operators, with what becomes of it. */
     void cordon(String server, boolean out, Consumer<Cordons.Result> answer) {
         if (module == null) { // too early to know any server
@@ -483,14 +511,15 @@
     @Override public void refuse(long id, double retryAfter) {
         Request r = requests.get(id);
         if (r != null && !r.over) {
-            answer(r, new ErrorRedisMessage(retryAfter > 0 ? "BUSY " + Math.round(retryAfter) : "BUSY"));
+            answer(r, new ErrorRedisMessage(retryAfter > 0 ? "BUSY " + Math.round(retryAfter) : "BUSY"),
+                Metrics.Outcome.THROTTLED);
         }
     }
 
     @Override public void fail(long id) {
         Request r = requests.get(id);
         if (r != null && !r.over) {
-            answer(r, new ErrorRedisMessage("ERR failed"));
+            fail(r);
         }
     }
 
--- a/src/main/java/willowyoke/net/Rehearsal.java
+++ b/src/main/java/willowyoke/net/Rehearsal.java
@@ -57,6 +57,7 @@
             client.getInputStream().read();
         }
         call(node, "GET " + AdminServer.HEALTH);
+        call(node, "GET " + AdminServer.STATS);
         call(node, "POST " + AdminServer.UNCORDON + "s");
         Files.delete(file);
     }
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -357,6 +357,9 @@
                 if (current == a) {
                     written = f.isSuccess();
                 }
+                if (f.isSuccess() && a.request != null) {
+                    node.relayed();
+                }
             });
             node.flushLater(channel);
         }
--- a/src/test/java/willowyoke/net/CordonsTest.java
+++ b/src/test/java/willowyoke/net/CordonsTest.java
@@ -61,7 +61,7 @@
         assertEquals(Set.of("s0", "s5"), Set.copyOf(Files.readAllLines(file())));
     }
 
-    /** Its idle connections end too: it is about to be restarted, and each would be found dead by a request. */
+    /** Its idle connections end too: it is about to be restarted, and requests would find them dead. */
     @Test void aServerThatIsOutKeepsNoIdleConnections() throws Exception {
         start();
         assertEquals("200", admin(node, "POST", "/admin/cordon/s0").get(0));
--- /dev/null
+++ b/src/test/java/willowyoke/net/MetricsTest.java
@@ -0,0 +1,100 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import willowyoke.Gateway;
+
+/** The figures as a scrape gets them. */
+class MetricsTest extends NodeFixture {
+    private static Map<String, Long> samples(String text) {
+        Map<String, Long> samples = new TreeMap<>();
+        text.lines().filter(line -> !line.startsWith("#")).forEach(line -> {
+            int space = line.lastIndexOf(' ');
+            samples.put(line.substring(0, space).replace("edge_edge_", ""),
+                Long.parseLong(line.substring(space + 1)));
+        });
+        return samples;
+    }
+
+    private Map<String, Long> scrape() throws Exception {
+        List<String> answer = admin(node, "GET", "/admin/stats");
+        assertEquals("200", answer.get(0));
+        return samples(answer.get(1));
+    }
+
+    private static String operations(String type, String status) {
+        return "operations_total{priority=\"" + type + "\",status=\"" + status + "\"}";
+    }
+
+    @Test void allStandsThereFromTheStartAtNought() {
+        Metrics metrics = new Metrics(List.of(new Gateway.RequestClass("a\"b\\", Gateway.Effect.SAFE,
+            Gateway.Group.ALL, 1, 1, 1, 0, 0, false)));
+        assertEquals("""
+            # HELP edge_edge_operations_total Requests ended, by class and outcome.
+            # TYPE edge_edge_operations_total counter
+            edge_edge_operations_total{priority="a\\"b\\\\",status="fulfilled"} 0
+            edge_edge_operations_total{priority="a\\"b\\\\",status="throttled"} 0
+            edge_edge_operations_total{priority="a\\"b\\\\",status="faulted"} 0
+            # HELP edge_edge_relayed_total Attempts written whole to place servers.
+            # TYPE edge_edge_relayed_total counter
+            edge_edge_relayed_total 0
+            # HELP edge_edge_open_requests Requests taken and not ended yet.
+            # TYPE edge_edge_open_requests gauge
+            edge_edge_open_requests 7
+            # HELP edge_edge_registry_entries Place servers in the list.
+            # TYPE edge_edge_registry_entries gauge
+            edge_edge_registry_entries 8
+            # HELP edge_edge_out_of_rotation Listed place servers that get nothing new at present.
+            # TYPE edge_edge_out_of_rotation gauge
+            edge_edge_out_of_rotation 9
+            """, metrics.text(7, 8, 9));
+        metrics.ended("no class of the settings", Metrics.Outcome.FAULTED);
+        assertEquals(0, samples(metrics.text(0, 0, 0)).values().stream().mapToLong(n -> n).sum());
+    }
+
+    @Test void eachOutcomeIsCountedOnceAndAttemptsWhenWritten() throws Exception {
+        start();
+        assertEquals(1, scrape().get("registry_entries"));
+        Peer.Line client = client();
+        get(client, "01", "read", 5000);
+        assertEquals("01", server.message().get(2));
+        assertEquals(1, scrape().get("open_requests"));
+        server.value("v");
+        client.message();
+        get(client, "02", "read", 5000);
+        server.message();
+        server.write("-ERR failed\r\n");
+        assertEquals(List.of("-ERR failed"), client.message());
+        get(client, "03", "read", 5000);
+        server.message();
+        assertEquals(3, scrape().get("relayed_total"));
+        Peer.Line gone = client();
+        List<String> types = new ArrayList<>(List.of("refuse", "hold", "fail"));
+        for (String type : types) { // the last two are of no class in the settings: no label for them
+            get(gone, type, type, 100);
+        }
+        for (int i = 0; i < types.size(); i++) {
+            gone.message();
+        }
+        client.close(); // abandoned: counted nowhere
+        for (String told = this.told.take(); !told.equals("gone 3"); told = this.told.take()) {
+            assertTrue(!told.startsWith("gone 1"));
+        }
+        Map<String, Long> all = scrape();
+        assertEquals(1, all.get(operations("read", "fulfilled")));
+        assertEquals(0, all.get(operations("read", "throttled")));
+        assertEquals(1, all.get(operations("read", "faulted")));
+        assertEquals(0, all.get(operations("write", "fulfilled")));
+        assertEquals(1, all.get(operations("refuse", "throttled")));
+        assertEquals(9, all.keySet().stream().filter(k -> k.startsWith("operations")).count());
+        assertEquals(0, all.get("open_requests"));
+        assertEquals(3, all.get("relayed_total"));
+        assertEquals(0, all.get("out_of_rotation"));
+    }
+}
--- a/src/test/java/willowyoke/net/NodeFixture.java
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -162,6 +162,7 @@
               "family_info":{"shared_counter":true,"count_limit":80,"most_units":2},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000},
+                {"name":"refuse","effect":"read_like","aim":600,"hard_limit":2000},
                 {"name":"write","effect":"idempotency_key","aim":600,"hard_limit":2000}],
               "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
             .formatted(listen, discovery.address(), sockets,
