--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -56,6 +56,8 @@
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
+    /** The part of what is asked that is sent on, until seen; a wrong guess is well within the factor. */
+    private static final double SENT_SHARE = 0.7;
     /** A server back from the operators is tried between these (ms): gateways must not all come at once. */
     private static final double BACK_FROM = 300;
     private static final double BACK_TO = 3500;
@@ -80,7 +82,7 @@
     private double counterSilentUntil, usuallyInside = 1, silentSince;
     private int misses, up;
     private long edges;
-    private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
+    private double sentShare = SENT_SHARE, paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
     private double window;
     private int callsOut;
@@ -493,6 +495,7 @@
         sentInPeriod = 0;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
+        sentShare += askRate > 0 ? (Math.min(1, sendRate / askRate) - sentShare) * SLOW : 0;
         ahead.clear();
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
             Customer c = it.next();
@@ -1057,11 +1060,14 @@
 
     /**
      * This gateway's part of what a cold server can bear: its mean to a warm one, scaled to what this one can
-     * do. It starts anywhere under one send, as one send of each gateway at once would be far too much.
+     * do. It starts anywhere under one send, as one send of each gateway at once would be far too much. The
+     * mean is by what is asked: with most servers cold or away what is sent falls by this very budget, and
+     * the budget with it, until nearly all is refused.
      */
     private double coldBudget(Host h) {
         double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double rate = sendRate / 1000 / Math.max(1, up) * warmth(h) * most;
+        double mean = Math.max(sendRate, askRate * sentShare) / Math.max(1, up);
+        double rate = mean / 1000 * warmth(h) * most;
         h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
             h.coldCredit + rate * (now - h.coldAt));
         h.coldAt = now;
--- a/src/test/java/willowyoke/CordonTest.java
+++ b/src/test/java/willowyoke/CordonTest.java
@@ -14,19 +14,22 @@
         for (int id = from; id < to; id++) {
             b.arrive(id, "read", "big", "c");
             b.to(b.now + 10);
-            if (b.sentTo(id) != null) {
-                b.end(id, 0, Gateway.Outcome.OK);
+            for (String line : List.copyOf(b.log)) { // held ones too, that were sent since
+                if (line.startsWith("send ")) {
+                    b.end(Long.parseLong(line.split(" ")[1]), 0, Gateway.Outcome.OK);
+                    b.log.set(b.log.indexOf(line), "sent" + line.substring("send".length()));
+                }
             }
         }
     }
 
     private static long sentTo(Bench b, String server) {
-        return b.log.stream().filter(line -> line.startsWith("send") && line.endsWith(" " + server)).count();
+        return b.log.stream().filter(line -> line.startsWith("sen") && line.endsWith(" " + server)).count();
     }
 
     @Test void nothingGoesToAServerThatIsOutWhateverTheListSays() {
         Bench b = Bench.plain().start().servers(3);
-        load(b, 0, 30);
+        load(b, 10_000, 10_100);
         assertTrue(sentTo(b, "s1") > 0);
         assertTrue(b.module.cordon(b.now, "s1", true));
         assertTrue(b.module.cordon(b.now, "s1", true), "twice is as good as once");
@@ -110,4 +113,19 @@
         load(b, 30, 500);
         assertTrue(sentTo(b, "s0") > 0);
     }
+
+    /** The budget of cold servers went by what was sent: with all of them cold, less and less of both. */
+    @Test void aFleetThatRestartsTogetherIsUsedAsFarAsItCan() {
+        Bench b = Bench.plain().start().servers(10);
+        load(b, 0, 1000);
+        List<Gateway.Server> cold = new java.util.ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            cold.add(Bench.server(i, Gateway.State.UP, b.now));
+        }
+        b.module.servers(b.now, cold, true);
+        load(b, 1000, 1300); // 3 s, at a fifth of their capacity to a quarter
+        long before = b.count("sen");
+        load(b, 1300, 1600); // to two fifths
+        assertTrue(b.count("sen") - before > 60, "sent on of 300: " + (b.count("sen") - before));
+    }
 }
