--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -38,6 +39,8 @@
     private static final int UNREAD = 2000;
 
     private static final int BACKLOG = 1024;
+    /** So much written and not sent (bytes): no more is read for this client until half of it has gone. */
+    private static final int UNSENT = 32 * 1024;
     /** Connections accepted in one round of the loop. */
     private static final int ACCEPTS = 16;
     /** No connection for so long (ms): the queue is as good as seen empty. */
@@ -73,6 +76,7 @@
                     channel.pipeline().addLast(new Queue());
                 }
             })
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNSENT / 2, UNSENT))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
@@ -183,6 +187,7 @@
     static final class Slot {
         private final Connection connection;
         private RedisMessage answer;
+        private ValueStream stream;
         Node.Request request;
 
         private Slot(Connection connection) {
@@ -192,6 +197,20 @@
         /** Gives the one answer; it is written once those before it are. */
         void answer(RedisMessage message) {
             answer = message;
+            stream = null;
+            connection.drain();
+        }
+
+        /** The answer comes bit by bit, from its turn on. */
+        void stream(ValueStream value) {
+            stream = value;
+            connection.drain();
+        }
+
+        /** Its last bit is written. */
+        void streamed() {
+            connection.slots.remove(this);
+            stream = null;
             connection.drain();
         }
 
@@ -270,6 +289,9 @@
                 channel.write(slots.poll().answer, channel.voidPromise());
                 node.flushLater(channel);
             }
+            if (!slots.isEmpty() && slots.peek().stream != null) {
+                slots.peek().stream.turn(channel);
+            }
             if (slots.isEmpty() && (closing || deaf)) {
                 finish();
             }
@@ -315,6 +337,9 @@
 
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             hold();
+            if (!slots.isEmpty() && slots.peek().stream != null) {
+                slots.peek().stream.pace();
+            }
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
@@ -326,6 +351,9 @@
                 if (slot.request != null) {
                     node.gone(slot.request);
                 }
+                if (slot.stream != null) {
+                    slot.stream.abandoned();
+                }
             }
             room();
             node.flush();
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -429,6 +429,35 @@
         settle(r);
     }
 
+    /**
+     * A large value has begun to come: the attempt has ended, for how long a client takes to read tells
+     * nothing of the server, and the value is on its way. Null where nobody waits for it.
+     */
+    ValueStream begun(ServerPool.Attempt a, int length, ValueStream.Source from) {
+        Request r = a.request;
+        r.out--;
+        double now = now();
+        ValueStream stream = null;
+        if (!r.over) {
+            over(r);
+            openRequests++; // until the stream ends
+            stream = new ValueStream(this, from, r.slot, r.call.type(), length);
+            r.slot.stream(stream);
+        }
+        tell(m -> m.ended(now, r.id, a.number, Gateway.Outcome.OK, now - a.sent, true, 0,
+            ServerPool.NO_LOAD));
+        settle(r);
+        return stream;
+    }
+
+    /** A stream has ended: with an outcome, or with none where its client has gone. */
+    void streamed(String type, Metrics.Outcome outcome) {
+        openRequests--;
+        if (outcome != null) {
+            metrics.ended(type, outcome);
+        }
+    }
+
     void probed(String server, Gateway.Outcome outcome, double took, double[] load) {
         tell(m -> m.probed(now(), server, outcome, took, load));
     }
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -5,10 +5,13 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.redis.AbstractStringRedisMessage;
+import io.netty.handler.codec.redis.ArrayHeaderRedisMessage;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.BulkStringRedisContent;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.IntegerRedisMessage;
+import io.netty.handler.codec.redis.LastBulkStringRedisContent;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
 import io.netty.handler.codec.redis.RedisDecoder;
@@ -17,24 +20,42 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
 /** RESP2 on a channel: the library's codec, held within this protocol's bounds. */
 final class Resp {
-    /** The most that one value holds; the lists of names and values and inline answers are far shorter. */
+    /** A value up to this is gathered whole; the lists of names and values and inline answers are shorter. */
     static final int VALUE = 64 * 1024;
+    /** The most that one value holds. */
+    static final int LARGEST = 4 << 20;
     private static final int LINE = 4096;
     private static final int DEPTH = 4;
 
     private Resp() { }
 
+    /** Where the value of an answer goes that is too large to be gathered. */
+    interface LargeValue {
+        /** Whether it is taken: else it spoils the answer. */
+        boolean begins(int length);
+
+        /** The next part, which is the receiver's to release. */
+        void content(ByteBuf part, boolean last);
+    }
+
     /** Adds the codec: whole messages in, messages out; the largest array told bounds what is kept of one. */
     static Raw codec(ChannelPipeline pipeline, int mostElements) {
+        return codec(pipeline, mostElements, null);
+    }
+
+    /** The same, but the first value of an array may be large: an empty one stands for it in the message. */
+    static Raw codec(ChannelPipeline pipeline, int mostElements, LargeValue large) {
         Raw raw = new Raw();
         pipeline.addLast(raw,
-            new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE), new Bounds(),
+            new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE),
+            new Bounds(raw, large),
             new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
             new RedisEncoder());
         return raw;
@@ -50,6 +71,11 @@
             ctx.fireChannelRead(msg);
         }
 
+        /** A large value has come; the message will count an empty one in its place. */
+        private void large(int size) {
+            pending -= digits(size) - digits(0) + size;
+        }
+
         /** A whole message has come; one in another than the shortest form leaves a difference for good. */
         void whole(RedisMessage message) {
             pending -= length(message);
@@ -78,11 +104,40 @@
 
     /** Guards against headers that announce gigabytes: the library's own bound is 512 MB a value. */
     private static final class Bounds extends ChannelInboundHandlerAdapter {
+        private final Raw raw;
+        private final LargeValue large;
+        private boolean first;
+        private int streaming;
+
+        Bounds(Raw raw, LargeValue large) {
+            this.raw = raw;
+            this.large = large;
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            if (streaming > 0) {
+                boolean last = msg instanceof LastBulkStringRedisContent;
+                if (last) {
+                    raw.large(streaming);
+                    streaming = 0;
+                }
+                large.content(((BulkStringRedisContent) msg).content(), last);
+                if (last) {
+                    ctx.fireChannelRead(new FullBulkStringRedisMessage(Unpooled.EMPTY_BUFFER));
+                }
+                return;
+            }
             if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > VALUE) {
-                throw new CodecException("a value of more than " + VALUE);
+                if (!first || large == null || header.bulkStringLength() > LARGEST
+                    || !large.begins(header.bulkStringLength())) {
+                    throw new CodecException("a value of more than " + VALUE);
+                }
+                streaming = header.bulkStringLength();
+            }
+            first = msg instanceof ArrayHeaderRedisMessage;
+            if (streaming == 0) {
+                ctx.fireChannelRead(msg);
             }
-            ctx.fireChannelRead(msg);
         }
     }
 
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -1,6 +1,8 @@
 package willowyoke.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,8 +41,14 @@
     private static final int PARTS = 3;
     private static final double PROBE_WITHIN = 250;
     private static final int MOST_ELEMENTS = 16;
-    /** An answer that has begun is whole within this (ms), or it will not be. */
+    /** An answer that has begun and of which nothing more comes for this long (ms) will not be whole. */
     private static final double WHOLE_WITHIN = 250;
+    /** The most read at a time (bytes): of a large value it stands here until the client takes it. */
+    private static final int READ_MOST = 16 * 1024;
+    /** The kernel's part of it (bytes): when the server ends its side all of that is read at once. */
+    private static final int KERNEL = 128 * 1024;
+    private static final int READ_FIRST = 1024;
+    private static final int READ_LEAST = 64;
     /** What was seen of idle connections counts half after this (ms): peers' habits change with the day. */
     private static final double FADE = 4000;
     /** Rest (ms) of a connection after an answer: what belongs to no request comes right behind one. */
@@ -113,7 +121,9 @@
         this.config = config;
         this.most = most;
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout());
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout())
+            .option(ChannelOption.SO_RCVBUF, KERNEL).option(ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST));
     }
 
     /** Done when every server of the first list has had its connection come up or fail. */
@@ -301,7 +311,7 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 link.channel = channel;
-                link.raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                link.raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS, link);
                 channel.pipeline().addLast(link);
             }
         }).connect(t.dial);
@@ -328,10 +338,13 @@
         });
     }
 
-    private final class Link extends ChannelInboundHandlerAdapter {
+    private final class Link extends ChannelInboundHandlerAdapter
+        implements Resp.LargeValue, ValueStream.Source {
         private final Target target;
         private Channel channel;
         private Attempt current;
+        /** The large value that comes, or has come with the rest of its answer still to come. */
+        private ValueStream stream;
         private Resp.Raw raw;
         private boolean written;
         private boolean answered;
@@ -390,6 +403,11 @@
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             try {
                 raw.whole((RedisMessage) msg);
+                if (stream != null) { // the figures behind a value that has been passed on
+                    stream = null;
+                    answered = true;
+                    return;
+                }
                 Attempt a = current;
                 current = null;
                 if (a == null || !written || !answered(a, (RedisMessage) msg)) {
@@ -406,6 +424,41 @@
             }
         }
 
+        /** The request is as good as answered: the value is the client's from its first bytes on. */
+        @Override public boolean begins(int length) {
+            Attempt a = current;
+            if (a == null || !written || a.request == null) {
+                return false;
+            }
+            current = null;
+            a.done = true;
+            learn(false);
+            stream = node.begun(a, length, this);
+            return stream != null;
+        }
+
+        @Override public void content(ByteBuf part, boolean last) {
+            if (stream == null) {
+                part.release(); // its stream has ended, and this connection with it
+            } else {
+                stream.content(part, last);
+                if (last) {
+                    incomplete(null);
+                }
+            }
+        }
+
+        @Override public void read(boolean on) {
+            if (channel.config().isAutoRead() != on) {
+                channel.config().setAutoRead(on);
+            }
+        }
+
+        @Override public void stop() {
+            stream = null;
+            channel.close();
+        }
+
         /** Takes an answer in one of the protocol's forms; false where it is in none: it may have run. */
         private boolean answered(Attempt a, RedisMessage msg) {
             if (msg instanceof ArrayRedisMessage array && !array.isNull() && array.children().size() == PARTS
@@ -435,23 +488,45 @@
          * message would be taken for the next request's. One with half an answer is waited for, but not long.
          */
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (current == null && raw.pending != 0) {
+            if (stream == null && current == null && raw.pending != 0) {
                 channel.close();
             } else if (answered) {
                 free();
             } else if (current != null && raw.pending != 0 && !begun) {
                 begun = true;
-                Attempt a = current;
-                node.after(WHOLE_WITHIN, () -> spoilt(a));
+                incomplete(current);
             }
             answered = false;
             node.flush();
         }
 
-        private void spoilt(Attempt a) {
-            if (current == a) {
-                current = null;
-                channel.close();
+        /** Half an answer has come, of an attempt or behind a large value: waited for while it grows. */
+        private void incomplete(Attempt a) {
+            long before = raw.pending;
+            ValueStream value = stream;
+            node.after(WHOLE_WITHIN, () -> {
+                if (current != a || stream != value || a == null && value == null) {
+                    return;
+                }
+                if (raw.pending != before) {
+                    incomplete(a);
+                } else {
+                    spoilt();
+                }
+            });
+        }
+
+        /** What has come is no answer's beginning: nothing more on this connection can be told apart. */
+        private void spoilt() {
+            Attempt a = current;
+            ValueStream value = stream;
+            current = null;
+            stream = null;
+            channel.close();
+            if (value != null) {
+                value.broken();
+            }
+            if (a != null) {
                 end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
             }
         }
@@ -464,7 +539,12 @@
                 serve(target);
             }
             Attempt a = current;
+            ValueStream value = stream;
             current = null;
+            stream = null;
+            if (value != null) {
+                value.broken();
+            }
             if (a != null) {
                 if (written && raw.pending == 0) {
                     learn(true);
@@ -478,9 +558,7 @@
             // behind our own close the codec tells only of what it had not read to its end
             if (!(cause instanceof java.io.IOException) && (current != null || channel.isActive())) {
                 node.log("app server connection", cause);
-                if (current != null) { // what came cannot be read: an error of this answer, not of the server
-                    spoilt(current);
-                }
+                spoilt(); // what came cannot be read: an error of this answer, not of the server
             }
             channel.close();
         }
--- /dev/null
+++ b/src/main/java/willowyoke/net/ValueStream.java
@@ -0,0 +1,155 @@
+package willowyoke.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.DefaultBulkStringRedisContent;
+import io.netty.handler.codec.redis.DefaultLastBulkStringRedisContent;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+
+/**
+ * A value too large to stand in memory, on its way from an app server to a client. What has come is written
+ * on at once; the server is read only while the client takes it. A stream ends in one way, and once.
+ */
+final class ValueStream {
+    /** The app server's end. */
+    interface Source {
+        void read(boolean on);
+
+        /** The value is of no use any more. */
+        void stop();
+    }
+
+    /** With no byte from the server, or none taken by the client, for so long (ms) the value ends there. */
+    private static final double STALLED = 5000;
+    private static final double CHECK = 500;
+
+    private final Node node;
+    private final Source source;
+    private final ClientListener.Slot slot;
+    private final String type;
+    private final int length;
+    /** What came with the first bytes while answers before this one were not written yet. */
+    private final ArrayDeque<ByteBuf> early = new ArrayDeque<>();
+    private Channel sink;
+    private boolean whole;
+    private boolean over;
+    private double movedAt;
+    private Future<?> watch;
+
+    ValueStream(Node node, Source source, ClientListener.Slot slot, String type, int length) {
+        this.node = node;
+        this.source = source;
+        this.slot = slot;
+        this.type = type;
+        this.length = length;
+        movedAt = node.now();
+        watch = node.after(CHECK, this::check);
+    }
+
+    private void check() {
+        if (sink != null && node.now() - movedAt > STALLED) {
+            broken();
+        } else if (!over) {
+            watch = node.after(CHECK, this::check);
+        }
+    }
+
+    // ---- from the server ----
+
+    /** Takes the part over. */
+    void content(ByteBuf part, boolean last) {
+        if (over) {
+            part.release();
+            return;
+        }
+        movedAt = node.now();
+        whole = last;
+        if (sink == null) {
+            early.add(part);
+        } else {
+            write(part, last);
+        }
+        pace();
+        if (last) {
+            source.read(true); // the rest of the answer is not the client's
+        }
+    }
+
+    /** The server's connection has ended, or what comes on it cannot be read: the rest does not come. */
+    void broken() {
+        if (over || whole) {
+            return;
+        }
+        boolean begun = sink != null;
+        end(Metrics.Outcome.FAULTED);
+        source.stop();
+        if (begun) {
+            sink.close(); // the only way to tell the client that it is not whole
+        } else {
+            slot.answer(new ErrorRedisMessage("ERR failed"));
+        }
+    }
+
+    // ---- from the client ----
+
+    /** All answers before this one are written. */
+    void turn(Channel channel) {
+        if (sink != null || over) {
+            return;
+        }
+        sink = channel;
+        movedAt = node.now();
+        sink.write(new BulkStringHeaderRedisMessage(length), sink.voidPromise());
+        node.flushLater(sink);
+        while (!early.isEmpty()) {
+            ByteBuf part = early.poll();
+            write(part, whole && early.isEmpty());
+        }
+        pace();
+    }
+
+    /** The client's connection has taken what was written, or has more than enough again. */
+    void pace() {
+        if (!over && !whole) {
+            boolean on = sink != null && sink.isWritable();
+            movedAt = on ? node.now() : movedAt;
+            source.read(on);
+        }
+    }
+
+    /** The client has gone: nobody waits for the rest. */
+    void abandoned() {
+        if (!over) {
+            end(null);
+            source.stop();
+        }
+    }
+
+    private void write(ByteBuf part, boolean last) {
+        if (!last) {
+            sink.write(new DefaultBulkStringRedisContent(part), sink.voidPromise());
+        } else {
+            sink.write(new DefaultLastBulkStringRedisContent(part)).addListener(f -> {
+                if (f.isSuccess()) {
+                    end(Metrics.Outcome.FULFILLED);
+                }
+            });
+            slot.streamed();
+        }
+        node.flushLater(sink);
+    }
+
+    private void end(Metrics.Outcome outcome) {
+        if (!over) {
+            over = true;
+            watch.cancel(false);
+            early.forEach(ReferenceCountUtil::release);
+            early.clear();
+            node.streamed(type, outcome);
+        }
+    }
+}
