--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -123,26 +123,39 @@
         }
     }
 
-    /** At the bound the connection idle for longest goes; with none idle, accepting waits for a close. */
+    /** At the bound one connection goes for each that comes; where none can, accepting waits for a close. */
     private void room() {
         if (open.size() > most) {
-            for (Connection c : silent) {
-                if (c.bornAt < node.now() - ASKS_WITHIN && !c.deaf) {
-                    c.finish();
-                    return;
-                }
-                break;
-            }
-            for (Connection c : open) {
-                if (c.slots.isEmpty() && !c.deaf) {
-                    c.finish();
-                    break;
-                }
+            Connection last = last();
+            if (last != null) {
+                last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
             }
         }
         listener.config().setAutoRead(unbinding || open.size() < most + Math.max(1, most / 16));
     }
 
+    /**
+     * Who goes first: one that has sent nothing and had the time to; then the one between requests for
+     * longest, whose client finds the end at once; and only then a half command, as that may be a true
+     * request on a slow way, the oldest first. Null where all have open requests.
+     */
+    private Connection last() {
+        Connection half = null;
+        double before = node.now() - ASKS_WITHIN;
+        for (Connection c : silent) {
+            if (!c.deaf && c.raw.pending == 0 && c.bornAt < before) {
+                return c;
+            }
+            half = half == null && !c.deaf && c.bornAt < before ? c : half;
+        }
+        for (Connection c : open) {
+            if (c.between() && !silent.contains(c)) {
+                return c;
+            }
+        }
+        return half;
+    }
+
     /** From now on each connection ends behind its next answer. */
     void close() {
         closing = true;
--- a/src/test/java/willowyoke/net/BadClientTest.java
+++ b/src/test/java/willowyoke/net/BadClientTest.java
@@ -131,4 +131,22 @@
         get(lines.get(39), "01", "refuse", 900);
         assertEquals(List.of("-BUSY 1500"), lines.get(39).message());
     }
+
+    /** A head may take 2 s: in a crowd it was taken for one that never asks, and ended after 0.5 s. */
+    @Test void aSlowHeadIsTheLastToMakeRoom() throws Exception {
+        sockets = 40;
+        start();
+        Peer.Line slow = client();
+        slow.write("*1\r\n$4\r\nPI");
+        Peer.Line silent = client();
+        Thread.sleep(600); // both have had the time to ask
+        for (int i = 0; i < 40; i++) {
+            Peer.Line line = client();
+            line.command("PING");
+            assertEquals(List.of("+PONG"), line.message());
+        }
+        assertTrue(silent.ended());
+        slow.write("NG\r\n");
+        assertEquals(List.of("+PONG"), slow.message());
+    }
 }
