--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -51,7 +51,7 @@
     private static final double FIRST_COMMAND = 1000;
 
     private final Node node;
-    private final int most;
+    private volatile int most;
     private final Set<Connection> open = new LinkedHashSet<>();
     /** Those that have sent no whole command yet, the oldest first. */
     private final Set<Connection> silent = new LinkedHashSet<>();
@@ -108,6 +108,11 @@
         }
     }
 
+    /** From now on so many connections are held at the most. */
+    void bound(int connections) {
+        most = connections;
+    }
+
     void start() {
         node.after(SWEEP, this::sweep);
     }
@@ -121,6 +126,9 @@
                 c.malformed("no whole command came");
             }
         }
+        if (listener != null) {
+            accept(); // the bound may have been raised
+        }
     }
 
     /** At the bound one connection goes for each that comes; where none can, accepting waits for a close. */
@@ -131,6 +139,10 @@
                 last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
             }
         }
+        accept();
+    }
+
+    private void accept() {
         listener.config().setAutoRead(unbinding || open.size() < most + Math.max(1, most / 16));
     }
 
--- a/src/main/java/willowyoke/net/Handover.java
+++ b/src/main/java/willowyoke/net/Handover.java
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Whether this process comes up beside another: the folder of a plain start is empty. */
+    boolean beside() {
+        return Files.exists(file);
+    }
+
     /** Whether another process has listened since this one did. */
     boolean succeeded() {
         try {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -44,9 +44,14 @@
     /** SIGKILL comes no sooner than 0.7 s behind the longest deadline, and that counts as 3 s at least. */
     private static final double LEAST_TO_END = 3000;
     private static final double TO_END = 600;
-    /** Of the sockets that may be held: files, counter, discovery and the loop's own take the rest. */
-    private static final double CLIENTS = 0.55;
-    private static final double SERVERS = 0.3;
+    /**
+     * Of the sockets that may be held: files, counter, discovery and the loop's own take some, and a new
+     * version that comes up beside this one has to find its part free. Clients need up to a third.
+     */
+    private static final double CLIENTS = 0.4;
+    private static final double SERVERS = 0.15;
+    /** A new version takes so few clients until the old one's have gone. */
+    private static final double CLIENTS_BESIDE = 0.1;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -166,6 +171,10 @@
             throw new IOException(e);
         }
         try {
+            if (handover.beside()) {
+                clients.bound((int) (config.sockets() * CLIENTS_BESIDE));
+                after(longestEnd(), () -> clients.bound((int) (config.sockets() * CLIENTS)));
+            }
             SocketAddress bound = clients.bind(group, config.listen());
             handover.claim();
             address = bound;
@@ -210,11 +219,9 @@
      * taken this one's place new connections are its own at once, and what comes on old ones is soon so.
      */
     public void drain() {
-        double longest = config.settings().classes().stream()
-            .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
         boolean succeeded = handover.succeeded();
         group.execute(() -> {
-            endsAt = now() + Math.max(longest, LEAST_TO_END) + TO_END;
+            endsAt = now() + longestEnd();
             if (succeeded) {
                 clients.unbind();
                 clients.close();
@@ -231,6 +238,13 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** From SIGTERM to the end (ms), at the most. */
+    private double longestEnd() {
+        double longest = config.settings().classes().stream()
+            .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
+        return Math.max(longest, LEAST_TO_END) + TO_END;
+    }
+
     /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
     private void whenIdle() {
         if (clients.idle() || now() >= endsAt) {
--- a/src/test/java/willowyoke/net/HandoverTest.java
+++ b/src/test/java/willowyoke/net/HandoverTest.java
@@ -53,7 +53,9 @@
         Path folder = state;
         Handover first = new Handover(folder, "n0");
         assertFalse(first.succeeded(), "no file yet");
+        assertFalse(first.beside());
         first.claim();
+        assertTrue(new Handover(folder, "n0").beside());
         assertFalse(first.succeeded());
         Handover second = new Handover(folder, "n0");
         second.claim();
@@ -64,4 +66,20 @@
             assertEquals(1, files.count(), "nothing half written is left");
         }
     }
+
+    /** The two share one limit on sockets: the new one leaves the old one's connections their places. */
+    @Test void theNewOneTakesFewClientsAtFirst() throws Exception {
+        sockets = 40;
+        new Handover(state, "n0").claim();
+        start();
+        Peer.Line first = client();
+        first.command("PING");
+        assertEquals(List.of("+PONG"), first.message());
+        for (int i = 0; i < 4; i++) { // a tenth of 40 with it
+            Peer.Line line = client();
+            line.command("PING");
+            assertEquals(List.of("+PONG"), line.message());
+        }
+        assertTrue(first.ended());
+    }
 }
