--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -48,10 +48,10 @@
      * Of the sockets that may be held: files, counter, discovery and the loop's own take some, and a new
      * version that comes up beside this one has to find its part free. Clients need up to a third.
      */
-    private static final double CLIENTS = 0.4;
-    private static final double SERVERS = 0.15;
-    /** A new version takes so few clients until the old one's have gone. */
-    private static final double CLIENTS_BESIDE = 0.1;
+    private static final double CLIENTS = 0.55;
+    private static final double SERVERS = 0.25;
+    /** A new version takes what true clients need, until the old one's have gone; a tenth shut them out. */
+    private static final double CLIENTS_BESIDE = 0.34;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
