--- /dev/null
+++ b/src/main/java/willowyoke/net/Body.java
@@ -0,0 +1,110 @@
+package willowyoke.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+
+/**
+ * A request's value too large to stand in memory, on its way from a client to an app server. Its first part
+ * is kept until an attempt takes it, and the rest passes through: so there is one such attempt, and a request
+ * whose kept part is gone is not sent again.
+ */
+final class Body {
+    /** The app server's end. */
+    interface Sink {
+        /** Takes the part over; false where no more should come for now. */
+        boolean write(ByteBuf part, boolean last);
+    }
+
+    /** So much is kept (bytes) before a server is looked for, and no more. */
+    static final int KEPT = Resp.VALUE;
+
+    private final int length;
+    private final double begunAt;
+    private final Runnable wanted;
+    private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
+    private int got;
+    private int bytes;
+    private Sink sink;
+    private boolean taken;
+    private boolean dropped;
+    private boolean open = true;
+
+    /** The last is run when the client should be read on, or no further. */
+    Body(int length, double now, Runnable wanted) {
+        this.length = length;
+        this.wanted = wanted;
+        begunAt = now;
+    }
+
+    int length() {
+        return length;
+    }
+
+    /** A part has come, which is this one's to release. */
+    void content(ByteBuf part) {
+        got += part.readableBytes();
+        if (dropped) {
+            part.release();
+        } else if (sink != null) {
+            open = sink.write(part, whole());
+            wanted.run();
+        } else {
+            bytes += part.readableBytes();
+            kept.add(part);
+            wanted.run();
+        }
+    }
+
+    boolean whole() {
+        return got == length;
+    }
+
+    /** Enough has come to look for a server. */
+    boolean begun() {
+        return bytes >= KEPT || whole();
+    }
+
+    /** Whether more should be read from the client. */
+    boolean wants() {
+        return dropped || (sink != null ? open : bytes < KEPT);
+    }
+
+    /** How long (ms) the rest takes at the pace so far. */
+    double rest(double now) {
+        return got == 0 ? 0 : (now - begunAt) / got * (length - got);
+    }
+
+    /** An attempt has begun to take it, or it is of no more use: it cannot be sent as if whole. */
+    boolean isGone() {
+        return taken || dropped;
+    }
+
+    /** From here on all goes to this server. */
+    void to(Sink server) {
+        taken = true;
+        sink = server;
+        while (!kept.isEmpty()) {
+            ByteBuf part = kept.poll();
+            open = sink.write(part, whole() && kept.isEmpty());
+        }
+        wanted.run();
+    }
+
+    /** The server takes more, or no more for now. */
+    void open(boolean on) {
+        open = on;
+        wanted.run();
+    }
+
+    /** What has not come yet is read and dropped: the client's next command is behind it. */
+    void drop() {
+        if (!dropped) {
+            dropped = true;
+            sink = null;
+            kept.forEach(ReferenceCountUtil::release);
+            kept.clear();
+            wanted.run();
+        }
+    }
+}
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -1,6 +1,7 @@
 package willowyoke.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -30,6 +31,8 @@
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final int MOST_WORDS = 16;
+    /** Which word of a command is the value. */
+    private static final int BODY = 4;
     /** One that has sent nothing whole for so long (ms) is told so and ended. */
     private static final double PATIENCE = 2500;
     private static final double SWEEP = 250;
@@ -80,7 +83,7 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
-                    c.raw = Resp.codec(channel.pipeline(), MOST_WORDS);
+                    c.raw = Resp.codec(channel.pipeline(), MOST_WORDS, c);
                     channel.pipeline().addLast(c);
                     open.add(c);
                     silent.add(c);
@@ -122,7 +125,7 @@
         node.after(SWEEP, this::sweep);
         double before = node.now() - PATIENCE;
         for (Connection c : open.toArray(new Connection[0])) {
-            if (!c.deaf && c.slots.isEmpty() && c.silentFrom < before) {
+            if (!c.deaf && (c.slots.isEmpty() || c.body != null && c.body.wants()) && c.silentFrom < before) {
                 c.malformed("no whole command came");
             }
         }
@@ -244,13 +247,18 @@
         }
     }
 
-    private final class Connection extends ChannelInboundHandlerAdapter {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Resp.LargeValue {
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
         private final double bornAt = node.now();
         private Resp.Raw raw;
         /** Since when a whole command is waited for; never where none has begun. */
         private double silentFrom = bornAt;
+        /** The large value that comes, and its command until enough has come to take that. */
+        private Body body;
+        private Slot bodySlot;
+        private ArrayRedisMessage bodyCommand;
+        private boolean bodyOwned;
         private boolean deaf;
         private boolean broken;
         private boolean finished;
@@ -289,9 +297,12 @@
         private void command(Slot slot, ArrayRedisMessage command) {
             String verb = Resp.text(command.children().get(0));
             if ("CALL.GET".equals(verb) || "CALL.POST".equals(verb)) {
-                String wrong = node.take(slot, command);
-                if (wrong != null) {
-                    slot.answer(new ErrorRedisMessage("ERR " + wrong));
+                if (body != null) {
+                    bodySlot = slot;
+                    bodyOwned = true;
+                    bodyCommand = ReferenceCountUtil.retain(command);
+                } else {
+                    take(slot, command, null);
                 }
             } else if ("PING".equalsIgnoreCase(verb)) {
                 slot.answer(new SimpleStringRedisMessage("PONG"));
@@ -300,12 +311,59 @@
             }
         }
 
+        private void take(Slot slot, ArrayRedisMessage command, Body with) {
+            String wrong = node.take(slot, command, with);
+            if (wrong != null) {
+                slot.answer(new ErrorRedisMessage("ERR " + wrong));
+                if (with != null) {
+                    with.drop();
+                }
+            }
+        }
+
+        // ---- a large value ----
+
+        @Override public int place() {
+            return BODY;
+        }
+
+        @Override public boolean begins(int length) {
+            if (deaf) {
+                return false;
+            }
+            body = new Body(length, node.now(), this::hold);
+            bodyOwned = false;
+            return true;
+        }
+
+        @Override public void content(ByteBuf part, boolean last) {
+            Body b = body;
+            if (last) {
+                body = null;
+            }
+            silentFrom = last ? Double.MAX_VALUE : node.now();
+            if (deaf || !bodyOwned) { // of no request: the command was answered without it
+                b.drop();
+            }
+            b.content(part);
+            if (bodyCommand != null && (b.begun() || node.full())) {
+                ArrayRedisMessage command = bodyCommand;
+                bodyCommand = null;
+                take(bodySlot, command, b);
+                ReferenceCountUtil.release(command);
+            }
+        }
+
         /** Reading stops while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
             boolean read = deaf && !broken || !deaf
-                && slots.size() < PIPELINED && channel.isWritable() && !node.full();
+                && slots.size() < PIPELINED && channel.isWritable()
+                && (body == null ? !node.full() : body.wants());
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
+                if (read && body != null) {
+                    silentFrom = node.now(); // it was we who did not read
+                }
             }
         }
 
@@ -352,7 +410,9 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (raw.pending == 0) {
+            if (body != null) {
+                silentFrom = node.now();
+            } else if (raw.pending == 0) {
                 silentFrom = silent.contains(this) ? silentFrom : Double.MAX_VALUE;
             } else if (silentFrom == Double.MAX_VALUE) {
                 silentFrom = node.now();
@@ -360,6 +420,14 @@
             node.flush();
         }
 
+        private void dropBody() {
+            ReferenceCountUtil.release(bodyCommand);
+            bodyCommand = null;
+            if (body != null) {
+                body.drop();
+            }
+        }
+
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             hold();
             if (!slots.isEmpty() && slots.peek().stream != null) {
@@ -370,6 +438,7 @@
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
             silent.remove(this);
+            dropBody();
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
                 ReferenceCountUtil.release(slot.answer);
@@ -389,6 +458,10 @@
          * that the error is not late behind it, and nothing more is read: 60 MB would cost as much to drop.
          */
         private void malformed(String what) {
+            if (bodyCommand != null) {
+                slots.remove(bodySlot); // no request yet: the error is its answer
+            }
+            dropBody();
             if (!deaf) {
                 deaf = true;
                 broken = true;
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -68,19 +68,23 @@
         final ArrayRedisMessage command;
         final Call call;
         final double deadline;
+        /** A large value that passes through, or null. */
+        final Body body;
         final int bytes;
         final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
         boolean over;
         int out;
         Future<?> timer;
 
-        Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline) {
+        Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, Body body,
+            double deadline) {
             this.id = id;
+            this.body = body;
             this.slot = slot;
             this.command = command;
             this.call = call;
             this.deadline = deadline;
-            int sum = 0;
+            int sum = body == null ? 0 : Body.KEPT;
             for (RedisMessage part : command.children()) {
                 sum += ((FullBulkStringRedisMessage) part).content().readableBytes();
             }
@@ -323,8 +327,11 @@
 
     // ---- from clients ----
 
-    /** Takes a request; answers what is wrong with it, or null. */
-    String take(ClientListener.Slot slot, ArrayRedisMessage command) {
+    /**
+     * Takes a request, with the large value that comes with it or null; answers what is wrong, or null. The
+     * client's wait begins with its last byte, and that is believed to come at the pace so far.
+     */
+    String take(ClientListener.Slot slot, ArrayRedisMessage command, Body body) {
         double now = now();
         Call call;
         try {
@@ -338,8 +345,9 @@
         if (!ids.add(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
-        double patience = Math.max(1, Math.min(call.patience(), endsAt - now) - WAY_BACK);
-        Request r = new Request(++lastId, slot, retained(command), call, now + patience);
+        double wait = call.patience() + (body == null ? 0 : body.rest(now));
+        double patience = Math.max(1, Math.min(wait, endsAt - now) - WAY_BACK);
+        Request r = new Request(++lastId, slot, retained(command), call, body, now + patience);
         slot.request = r;
         held += r.bytes;
         openRequests++;
@@ -401,6 +409,12 @@
 
     private void over(Request r) {
         r.over = true;
+        if (r.body != null && !r.body.whole()) { // what is out of it cannot become a command
+            r.body.drop();
+            later(() -> r.attempts.forEach(a -> servers.giveUp(a, Gateway.Outcome.CANCELLED)));
+        } else if (r.body != null) {
+            r.body.drop();
+        }
         openRequests--;
         r.slot.request = null;
         if (r.out == 0) {
@@ -433,6 +447,9 @@
         Request r = a.request;
         r.out--;
         double now = now();
+        if (outcome != Gateway.Outcome.OK && r.body != null && r.body.isGone()) {
+            r.body.drop(); // it went with this attempt; what still comes of it goes nowhere
+        }
         if (outcome == Gateway.Outcome.OK && !r.over) {
             last(r, ReferenceCountUtil.retain(value), Metrics.Outcome.FULFILLED);
         }
@@ -532,7 +549,8 @@
         ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
         r.attempts.add(a);
         r.out++;
-        if (r.over || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
+        boolean gone = r.body != null && r.body.isGone();
+        if (r.over || gone || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
             a.done = true;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
             return;
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -36,8 +36,11 @@
 
     private Resp() { }
 
-    /** Where the value of an answer goes that is too large to be gathered. */
+    /** Where a value goes that is too large to be gathered. */
     interface LargeValue {
+        /** Which element of an array may be large. */
+        int place();
+
         /** Whether it is taken: else it spoils the answer. */
         boolean begins(int length);
 
@@ -50,7 +53,7 @@
         return codec(pipeline, mostElements, null);
     }
 
-    /** The same, but the first value of an array may be large: an empty one stands for it in the message. */
+    /** The same, but one value of an array may be large: an empty one stands for it in the message. */
     static Raw codec(ChannelPipeline pipeline, int mostElements, LargeValue large) {
         Raw raw = new Raw();
         pipeline.addLast(raw,
@@ -106,7 +109,9 @@
     private static final class Bounds extends ChannelInboundHandlerAdapter {
         private final Raw raw;
         private final LargeValue large;
-        private boolean first;
+        /** Elements of the array so far, and all of them. */
+        private long elements;
+        private long size;
         private int streaming;
 
         Bounds(Raw raw, LargeValue large) {
@@ -122,22 +127,31 @@
                     streaming = 0;
                 }
                 large.content(((BulkStringRedisContent) msg).content(), last);
-                if (last) {
-                    ctx.fireChannelRead(new FullBulkStringRedisMessage(Unpooled.EMPTY_BUFFER));
-                }
                 return;
             }
-            if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > VALUE) {
-                if (!first || large == null || header.bulkStringLength() > LARGEST
-                    || !large.begins(header.bulkStringLength())) {
-                    throw new CodecException("a value of more than " + VALUE);
+            if (msg instanceof ArrayHeaderRedisMessage array) {
+                elements = 0;
+                size = array.length();
+            } else if (msg instanceof BulkStringHeaderRedisMessage header) {
+                if (header.bulkStringLength() > VALUE) {
+                    begin(ctx, header.bulkStringLength());
+                    return;
                 }
-                streaming = header.bulkStringLength();
+            } else {
+                boolean part = msg instanceof BulkStringRedisContent;
+                elements += part && !(msg instanceof LastBulkStringRedisContent) ? 0 : 1;
             }
-            first = msg instanceof ArrayHeaderRedisMessage;
-            if (streaming == 0) {
-                ctx.fireChannelRead(msg);
+            ctx.fireChannelRead(msg);
+        }
+
+        private void begin(ChannelHandlerContext ctx, int length) {
+            if (large == null || elements != large.place() || elements >= size || length > LARGEST
+                || !large.begins(length)) {
+                throw new CodecException("a value of more than " + VALUE);
             }
+            elements++;
+            streaming = length;
+            ctx.fireChannelRead(new FullBulkStringRedisMessage(Unpooled.EMPTY_BUFFER));
         }
     }
 
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -11,7 +11,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.redis.ArrayHeaderRedisMessage;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.DefaultBulkStringRedisContent;
+import io.netty.handler.codec.redis.DefaultLastBulkStringRedisContent;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
@@ -339,7 +343,7 @@
     }
 
     private final class Link extends ChannelInboundHandlerAdapter
-        implements Resp.LargeValue, ValueStream.Source {
+        implements Resp.LargeValue, ValueStream.Source, Body.Sink {
         private final Target target;
         private Channel channel;
         private Attempt current;
@@ -366,7 +370,24 @@
             idle = node.now() - usedAt;
             ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
                 : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
-            channel.write(command).addListener(f -> {
+            if (a.request != null && a.request.body != null) {
+                List<RedisMessage> parts = command.children();
+                channel.write(new ArrayHeaderRedisMessage(parts.size()), channel.voidPromise());
+                for (RedisMessage part : parts.subList(0, parts.size() - 1)) {
+                    channel.write(part, channel.voidPromise());
+                }
+                channel.write(new BulkStringHeaderRedisMessage(a.request.body.length()),
+                    channel.voidPromise());
+                ReferenceCountUtil.release(parts.get(parts.size() - 1)); // an empty one, in the body's place
+                a.request.body.to(this);
+            } else {
+                written(a, channel.write(command));
+            }
+            node.flushLater(channel);
+        }
+
+        private void written(Attempt a, ChannelFuture write) {
+            write.addListener(f -> {
                 if (current == a) {
                     written = f.isSuccess();
                 }
@@ -374,7 +395,28 @@
                     node.relayed();
                 }
             });
+        }
+
+        /** A part of a large body; one whose attempt has ended takes it nowhere. */
+        @Override public boolean write(ByteBuf part, boolean last) {
+            Attempt a = current;
+            if (a == null) {
+                part.release();
+                return true;
+            }
+            if (last) {
+                written(a, channel.write(new DefaultLastBulkStringRedisContent(part)));
+            } else {
+                channel.write(new DefaultBulkStringRedisContent(part), channel.voidPromise());
+            }
             node.flushLater(channel);
+            return channel.isWritable();
+        }
+
+        @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (current != null && current.request != null && current.request.body != null) {
+                current.request.body.open(channel.isWritable());
+            }
         }
 
         /** What came of using this connection: an answer, or a reset before anything of one. */
@@ -411,8 +453,9 @@
                 Attempt a = current;
                 current = null;
                 if (a == null || !written || !answered(a, (RedisMessage) msg)) {
-                    if (a != null) {
-                        end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
+                    if (a != null) { // an answer to a body that is not whole yet: it cannot have run
+                        end(a, written || a.request == null || a.request.body == null ? Gateway.Outcome.ERROR
+                            : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
                     }
                     channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
                     return;
@@ -424,6 +467,10 @@
             }
         }
 
+        @Override public int place() {
+            return 0;
+        }
+
         /** The request is as good as answered: the value is the client's from its first bytes on. */
         @Override public boolean begins(int length) {
             Attempt a = current;
