--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -38,8 +38,12 @@
  */
 final class ServerPool {
     static final double[] NO_LOAD = new double[0];
-    /** Part of the servers' idle limit after which a connection is retired: a race would be a reset. */
-    private static final double RETIRE = 0.4;
+    /**
+     * So long (ms) before the servers' idle limit a connection is retired: a request that crosses its end is
+     * reset, and a sweep, the way there and a late loop come between. Of a short limit this part stays.
+     */
+    private static final double RETIRE_BEFORE = 3000;
+    private static final double RETIRE_LEAST = 0.4;
     private static final double SWEEP = 500;
     /** The value, the figures on use, the load report. */
     private static final int PARTS = 3;
@@ -208,7 +212,8 @@
     private void sweep() {
         node.after(SWEEP, this::sweep);
         idleLimit.fade(Math.pow(0.5, SWEEP / FADE));
-        double before = node.now() - config.keepAlive() * RETIRE;
+        double before = node.now()
+            - Math.max(config.keepAlive() * RETIRE_LEAST, config.keepAlive() - RETIRE_BEFORE);
         for (Target t : targets.values()) {
             while (!t.idle.isEmpty() && t.idle.peek().usedAt < before) {
                 t.idle.poll().channel.close();
