After a call that timed out, pause before the next: it still stands in the counter's line

At fault: mayCall() and crowding(). The bound on calls of a gateway cannot fall under one, and a call that timed out freed its place at once, though the counter still has it in line: 14 nodes of one call each, and corrections beside them, were a line of more than its limit of 80 ms, which never went down. Ruled out: a counter that was away or turned calls away (0 to 1%), CPU (none over its limit in the report). Not kept: a bound under one as a pause between calls.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -86,7 +86,7 @@
     private long edges;
     private double sentShare = SENT_SHARE, paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
-    private double window;
+    private double window, lineUntil;
     private int callsOut;
     private final ArrayDeque<Customer> ahead = new ArrayDeque<>();
     private double counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
@@ -488,7 +488,7 @@
     }
 
     private boolean mayCall() {
-        return now >= counterSilentUntil && callsOut + 1 <= (misses >= MISSES ? 1 : window);
+        return now >= counterSilentUntil && now >= lineUntil && callsOut + 1 <= (misses >= MISSES ? 1 : window);
     }
 
     private void onEdge() {
@@ -546,6 +546,9 @@
         double limit = set.allowed().counterTimeout();
         if (outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT) {
             window *= CALLS_DOWN_LOST;
+            // one call a gateway at least is out again at once, and a tier of them never lets the line go
+            lineUntil = now + limit * (0.5 + random.nextDouble());
+            at(Kind.RETRY, lineUntil, null);
         } else if (outcome == Gateway.Outcome.OK && took > limit * CALL_SLOW) {
             window *= CALLS_DOWN;
         } else if (outcome == Gateway.Outcome.OK && took < limit * CALL_QUICK && callsOut + 2 > window) {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -244,6 +244,23 @@
         assertEquals(1, b.count("count 2.0"), "the one sent by belief and this one");
     }
 
+    /** Fourteen gateways each called anew while their late calls stood in line: half of all were late. */
+    @Test void aCallThatTimedOutIsGivenTimeToLeaveTheLine() {
+        Bench b = new Bench();
+        b.nodes = 1000; // one call at a time at first
+        b.start().servers(2000);
+        for (int i = 0; i < 4; i++) {
+            b.arrive(i, "read", "rate", "c" + i);
+        }
+        b.to(50);
+        assertEquals(1, b.count("count"));
+        b.answerCounter(Gateway.Outcome.TIMEOUT);
+        b.to(74);
+        assertEquals(1, b.count("count"), "nothing new for half of the limit of 50 ms: " + b.log);
+        b.to(126);
+        assertEquals(2, b.count("count"), "and the next by itself soon behind: " + b.log);
+    }
+
     /** A hundred gateways that each read an empty store twice a second left the counter nothing else to do. */
     @Test void anEmptyStoreIsReadAgainLaterWhereItsSetIsLarge() {
         for (int spread : List.of(2, 100)) {
