--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -488,7 +488,8 @@
     }
 
     private boolean mayCall() {
-        return now >= counterSilentUntil && now >= lineUntil && callsOut + 1 <= (misses >= MISSES ? 1 : window);
+        return now >= counterSilentUntil && now >= lineUntil
+            && callsOut + 1 <= (misses >= MISSES ? 1 : window);
     }
 
     private void onEdge() {
@@ -605,7 +606,7 @@
         call(c, name(c, c.askEpoch), c.added, Why.CLAIM);
     }
 
-    /** When a reading that left nothing is taken again: later by as many as its set is more than the calls. */
+    /** When a reading that left nothing is taken again: later as the set is larger than the bound on calls. */
     private double readAgain(Customer c) {
         return READ_AGAIN * Math.max(1, c.spread / window);
     }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -160,7 +160,7 @@
             discovery.ready().thenRun(() -> StartLog.ended("discovery"));
             servers.ready().thenRun(() -> StartLog.ended("servers"));
             counter.ready().thenRun(() -> StartLog.ended("counter"));
-            // a list known from before serves until discovery's comes: after a mass kill that is seconds later
+            // a list known from before serves until discovery's comes: seconds later after a mass kill
             CompletableFuture<?> list = config.known() == null ? discovery.ready() : servers.ready();
             CompletableFuture.allOf(list, servers.ready(), counter.ready())
                 .thenRun(() -> ready.complete(null));
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -22,9 +22,9 @@
 public final class Warmup implements Gateway.Actions {
     /**
      * A restart waits for them, and after a mass kill few others carry the load meanwhile: 100 rounds kept
-     * ten of 14 nodes away 0.6 s longer. 2 rounds left the first 5 s of a day on 0.15 of a core so cold that a
-     * tenth timed out. Most code runs several times a round, and so to the compiler's 200 calls; real requests
-     * warm the rest.
+     * ten of 14 nodes away 0.6 s longer. 2 rounds left the first 5 s of a day on 0.15 of a core so cold that
+     * a tenth timed out. Most code runs several times a round, and so to the compiler's 200 calls; real
+     * requests warm the rest.
      */
     private static final int ROUNDS = 40;
     private static final int SERVERS = 8;
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -261,7 +261,7 @@
         assertEquals(2, b.count("count"), "and the next by itself soon behind: " + b.log);
     }
 
-    /** A hundred gateways that each read an empty store twice a second left the counter nothing else to do. */
+    /** A hundred gateways that read an empty store twice a second left the counter nothing else to do. */
     @Test void anEmptyStoreIsReadAgainLaterWhereItsSetIsLarge() {
         for (int spread : List.of(2, 100)) {
             Bench b = new Bench();
