--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -606,7 +606,7 @@
         call(c, name(c, c.askEpoch), c.added, Why.CLAIM);
     }
 
-    /** When a reading that left nothing is taken again: later the larger the set is than the bound on calls. */
+    /** When a reading that left nothing is taken again: later where the set is large and calls few. */
     private double readAgain(Customer c) {
         return READ_AGAIN * Math.max(1, c.spread / window);
     }
