Read lists that come indented: a list is a JSON object, not a line

Discovery cut what came at each line feed, so the first line of an indented list ('{') was no JSON, the watch was closed, and the same happened with the next. The node then ran on the list known at its start. Netty's JsonObjectDecoder cuts the body into objects now. WatchTest.anIndentedListIsOneList failed before (discovery failed in place of the change).

--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.core.JacksonException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -17,9 +19,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
+import io.netty.handler.codec.json.JsonObjectDecoder;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -33,19 +37,19 @@
     /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
     private static final double SILENT = 5000;
     /**
-     * Lines come whole: half a line with nothing behind it for so long (ms) is all that comes, and what it
-     * tells must be known within the grace for drains. The watch is asked for anew, from the last whole line.
-     * Where lines are merely slow this costs a connection each, and from the second on the back-off.
+     * Lists come whole: half a list with nothing behind it for so long (ms) is all that comes, and what it
+     * tells must be known within the grace for drains. The watch is asked for anew, from the last whole list.
+     * Where lists are merely slow this costs a connection each, and from the second on the back-off.
      */
-    private static final double HALF_LINE = 80;
+    private static final double HALF_A_LIST = 80;
     private static final double CHECK = 500;
     private static final int CONNECT = 1000;
     /** The agent is on this machine and at no cost: after one that worked the next is tried at once. */
     private static final double BACKOFF = 10;
     /** What the agent has counts as told: away for longer, a drain would be heard of past its grace. */
     private static final double BACKOFF_MOST = 80;
-    /** No list is as long as this (bytes); a line that grows past it ends the connection. */
-    private static final int LINE = 8 << 20;
+    /** No list is as long as this (bytes); one that grows past it ends the connection. */
+    private static final int LONGEST_LIST = 8 << 20;
 
     /** A server as the module knows it, and where it listens. */
     record Member(Gateway.Server server, InetSocketAddress dial) { }
@@ -121,7 +125,8 @@
         InetSocketAddress to = address;
         bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Lines(to));
+                Call call = new Call(to);
+                c.pipeline().addLast(new HttpClientCodec(), new Body(call), call.lists, call);
             }
         }).connect(to).addListener(f -> {
             if (!f.isSuccess() && to == address) {
@@ -174,15 +179,53 @@
             state == Gateway.State.GONE && dial.isEmpty() ? null : Config.address(dial));
     }
 
-    private final class Lines extends SimpleChannelInboundHandler<HttpObject> {
+    /** What the body of an answer holds: lists, which may be indented, with empty lines between them. */
+    private static final class Lists extends JsonObjectDecoder {
+        Lists() {
+            super(LONGEST_LIST);
+        }
+
+        /** Bytes that have come of a list that is not whole yet. */
+        int pending() {
+            return actualReadableBytes();
+        }
+    }
+
+    /** The head of an answer, then its body as bytes, then its end. */
+    private static final class Body extends SimpleChannelInboundHandler<HttpObject> {
+        private final Call call;
+        private boolean good;
+
+        Body(Call call) {
+            this.call = call;
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) {
+            if (msg instanceof HttpResponse response) {
+                good = response.status().code() == HttpResponseStatus.OK.code();
+            }
+            long before = call.whole;
+            boolean text = msg instanceof HttpContent content && good && content.content().isReadable();
+            if (text) {
+                ctx.fireChannelRead(((HttpContent) msg).content().retain());
+            }
+            call.heard(text && call.whole == before);
+            if (msg instanceof LastHttpContent) {
+                ctx.fireChannelRead(good ? End.WHOLE : End.REFUSED);
+            }
+        }
+    }
+
+    private enum End { WHOLE, REFUSED }
+
+    private final class Call extends ChannelInboundHandlerAdapter {
         private final InetSocketAddress at;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Lists lists = new Lists();
         private boolean watching;
-        private boolean good;
-        private long lines;
+        private long whole;
         private boolean timed;
 
-        Lines(InetSocketAddress at) {
+        Call(InetSocketAddress at) {
             this.at = at;
         }
 
@@ -205,67 +248,59 @@
             ctx.writeAndFlush(request);
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
-            heardAt = at == address ? node.now() : heardAt;
-            if (msg instanceof HttpResponse response) {
-                good = response.status().code() == 200;
-            }
-            if (msg instanceof HttpContent content && good) {
-                ByteBuf in = content.content();
-                while (in.isReadable()) {
-                    int end = in.bytesBefore((byte) '\n');
-                    in.readBytes(line, end < 0 ? in.readableBytes() : end);
-                    if (end >= 0) {
-                        in.skipBytes(1);
-                        line();
-                    } else if (line.size() > LINE) {
-                        ctx.close();
-                    }
+        /** Something has come; an empty line tells that nothing has changed. */
+        private void heard(boolean noList) {
+            if (at == address) {
+                heardAt = node.now();
+                if (noList && watching && lists.pending() == 0) {
+                    works();
                 }
             }
-            if (msg instanceof LastHttpContent) {
-                if (good && !watching && line.size() > 0) {
-                    line();
-                }
-                if (good && !watching && seq >= 0) {
-                    ask(ctx); // the list is here; the watch goes on from it
-                } else {
-                    ctx.close();
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) throws IOException {
+            if (msg instanceof ByteBuf text) {
+                try {
+                    list(ByteBufUtil.getBytes(text));
+                } finally {
+                    ReferenceCountUtil.release(text);
                 }
+            } else if (msg == End.WHOLE && !watching && seq >= 0) {
+                ask(ctx); // the list is here; the watch goes on from it
+            } else {
+                ctx.close();
             }
         }
 
-        private void line() throws IOException {
-            byte[] text = line.toByteArray();
-            line.reset();
-            lines++;
-            if (new String(text, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
-                backoff = BACKOFF;
-                ready.complete(null); // nothing has changed
-                return;
-            }
+        private void list(byte[] text) throws IOException {
+            whole++;
             if (take(Json.read(text), at == address)) {
-                backoff = BACKOFF;
-                ready.complete(null);
+                works();
             }
         }
 
+        /** The next call after this one is made at once. */
+        private void works() {
+            backoff = BACKOFF;
+            ready.complete(null);
+        }
+
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (line.size() > 0 && !timed) {
-                halfALine(ctx, lines, line.size());
+            if (lists.pending() > 0 && !timed) {
+                halfAList(ctx, whole, lists.pending());
             }
             node.flush();
         }
 
-        /** Waits for more of this line; one that grows is waited for again. */
-        private void halfALine(ChannelHandlerContext ctx, long whole, int size) {
+        /** Waits for more of this list; one that grows is waited for again. */
+        private void halfAList(ChannelHandlerContext ctx, long before, int size) {
             timed = true;
-            node.after(HALF_LINE, () -> {
+            node.after(HALF_A_LIST, () -> {
                 timed = false;
-                if (lines == whole && line.size() == size) {
+                if (whole == before && lists.pending() == size) {
                     ctx.close();
-                } else if (line.size() > 0) {
-                    halfALine(ctx, lines, line.size());
+                } else if (lists.pending() > 0) {
+                    halfAList(ctx, whole, lists.pending());
                 }
             });
         }
--- a/src/test/java/willowyoke/net/WatchTest.java
+++ b/src/test/java/willowyoke/net/WatchTest.java
@@ -72,4 +72,17 @@
             again.close();
         }
     }
+
+    /** Taken line by line an indented list was none: each watch broke on its first line, and told nothing. */
+    @Test void anIndentedListIsOneList() throws Exception {
+        start();
+        push("{\n  \"seq\": 42,\n  \"whole\": false,\n  \"hosts\": [\n    "
+            + entry("s0", app.address(), "leaving").replace(",", ",\n      ") + "\n  ]\n}");
+        push("");
+        expect("changes s0 DRAINING");
+        watch.close();
+        expect("discovery failed");
+        watch = discovery.accept();
+        assertEquals("GET /catalog/members?follow=1&since=42 HTTP/1.1", watch.line());
+    }
 }
