Ask for the whole list where discovery refuses the version of a watch

A watch that was answered by anything but 200 was closed and asked for again with the same 'since', for ever: Discovery.Lines ignored the body and kept seq. WatchTest.aVersionThatIsRefusedIsFollowedByTheWholeList failed before.

--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -268,6 +268,9 @@
             } else if (msg == End.WHOLE && !watching && seq >= 0) {
                 ask(ctx); // the list is here; the watch goes on from it
             } else {
+                if (msg == End.REFUSED && at == address) {
+                    seq = -1; // no longer known there: asked again, it would be refused for ever
+                }
                 ctx.close();
             }
         }
--- a/src/test/java/willowyoke/net/WatchTest.java
+++ b/src/test/java/willowyoke/net/WatchTest.java
@@ -85,4 +85,17 @@
         watch = discovery.accept();
         assertEquals("GET /catalog/members?follow=1&since=42 HTTP/1.1", watch.line());
     }
+
+    /** Asked for again and again with a version that discovery has forgotten, it was refused for ever. */
+    @Test void aVersionThatIsRefusedIsFollowedByTheWholeList() throws Exception {
+        start();
+        watch.close();
+        expect("discovery failed");
+        watch = discovery.accept();
+        assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", watch.line());
+        watch.write("HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n");
+        expect("discovery failed");
+        watch = discovery.accept();
+        assertEquals("GET /catalog/members HTTP/1.1", watch.line());
+    }
 }
