Give each call to discovery a time of its own to be answered first

A call that was accepted and never answered was waited for 5.0 to 5.5 s, like a watch that had worked: after SIGHUP what discovery has counts as told after 4 s, and after a watch's silence after 6 s, of which 5.5 were gone already. Discovery.check had one limit for all. A list has 1 s now, a watch's first line 2.5 s, twice as long each time it is silent again; silence behind a line is 4.2 to 4.8 s, drawn, so that the watches of all nodes are not opened in one moment. WatchTest.aCallForTheListThatIsNeverAnsweredIsMadeAnew failed before.

--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -28,21 +28,35 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
 
 /** The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. */
 final class Discovery {
     private static final String PATH = "/catalog/members";
-    /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
-    private static final double SILENT = 5000;
+    /**
+     * A watch sends a line every 2 s: one that is silent for longer (ms) is dead. What it misses counts as told
+     * 6 s after its end, which may be as soon as its last line, and the next one has still to open.
+     */
+    private static final double SILENT = 4200;
+    /** The watches of all nodes may fall silent at once: each is opened anew at a time of its own (ms). */
+    private static final double SILENT_SPREAD = 600;
+    /**
+     * The whole list comes at once, and the first line of a watch with its first empty one, if not before. A
+     * call that is silent for so long (ms) from its start is asked anew, and the next may be silent for twice
+     * that: where discovery has a line of callers, each that comes again makes it longer.
+     */
+    private static final double LIST_WITHIN = 1000;
+    private static final double WATCH_WITHIN = 2500;
+    private static final double PATIENCE_MOST = 8;
     /**
      * Lists come whole: half a list with nothing behind it for so long (ms) is all that comes, and what it
      * tells must be known within the grace for drains. The watch is asked for anew, from the last whole list.
      * Where lists are merely slow this costs a connection each, and from the second on the back-off.
      */
     private static final double HALF_A_LIST = 80;
-    private static final double CHECK = 500;
+    private static final double CHECK = 100;
     private static final int CONNECT = 1000;
     /** The agent is on this machine and at no cost: after one that worked the next is tried at once. */
     private static final double BACKOFF = 10;
@@ -56,19 +70,24 @@
 
     private final Node node;
     private final Bootstrap bootstrap;
+    private final SplittableRandom random;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     /** Watches at addresses that a new configuration has left: they count until the new one has told. */
     private final List<Channel> left = new ArrayList<>();
     private InetSocketAddress address;
     private Channel channel;
     private long seq = -1;
+    /** When the call that is out was made or last heard of, and how long it may be silent from then. */
     private double heardAt;
+    private double silence = SILENT;
+    private double patience = 1;
     private double backoff = BACKOFF;
     private boolean connecting;
 
     Discovery(Node node, EventLoopGroup group, Config config) {
         this.node = node;
         address = config.discovery();
+        random = new SplittableRandom(config.seed());
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
@@ -102,6 +121,7 @@
         address = to;
         seq = -1;
         backoff = BACKOFF;
+        patience = 1;
         connecting = false;
         if (channel != null) {
             left.add(channel);
@@ -112,7 +132,7 @@
 
     private void check() {
         node.after(CHECK, this::check);
-        if (channel != null && node.now() - heardAt > SILENT) {
+        if (channel != null && node.now() - heardAt > silence) {
             channel.close();
         }
     }
@@ -136,8 +156,12 @@
         });
     }
 
+    private double spread() {
+        return SILENT_SPREAD * random.nextDouble();
+    }
+
     private void again() {
-        node.after(backoff, this::connect);
+        node.after(backoff * (1 + random.nextDouble()) / 2, this::connect);
         backoff = Math.min(2 * backoff, BACKOFF_MOST);
         node.discoveryFailed();
         node.flush();
@@ -240,8 +264,10 @@
         }
 
         private void ask(ChannelHandlerContext ctx) {
-            heardAt = node.now();
             watching = seq >= 0;
+            heardAt = node.now();
+            silence = Math.min(SILENT, patience * (watching ? WATCH_WITHIN : LIST_WITHIN)) + spread();
+            patience = Math.min(2 * patience, PATIENCE_MOST);
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 watching ? PATH + "?follow=1&since=" + seq : PATH);
             request.headers().set(HttpHeaderNames.HOST, at.getHostString() + ":" + at.getPort());
@@ -252,6 +278,8 @@
         private void heard(boolean noList) {
             if (at == address) {
                 heardAt = node.now();
+                silence = SILENT + spread();
+                patience = 1;
                 if (noList && watching && lists.pending() == 0) {
                     works();
                 }
--- a/src/test/java/willowyoke/net/WatchTest.java
+++ b/src/test/java/willowyoke/net/WatchTest.java
@@ -98,4 +98,24 @@
         watch = discovery.accept();
         assertEquals("GET /catalog/members HTTP/1.1", watch.line());
     }
+
+    /** A call for the list that is accepted and never answered was waited for 5 s; told it counts after 4. */
+    @Test void aCallForTheListThatIsNeverAnsweredIsMadeAnew() throws Exception {
+        start();
+        watch.close();
+        expect("discovery failed");
+        watch = discovery.accept();
+        watch.write("HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n");
+        expect("discovery failed");
+        Peer.Line silent = discovery.accept();
+        assertEquals("GET /catalog/members HTTP/1.1", silent.line());
+        watch = discovery.poll(3000);
+        assertNotNull(watch, "asked anew before what it had to tell counts as told");
+        assertEquals("GET /catalog/members HTTP/1.1", watch.line());
+        silent.in.readAllBytes(); // returns at its end
+        String list = list(43, true, entry("s0", app.address(), "leaving"));
+        watch.write("HTTP/1.1 200 OK\r\ncontent-length: " + list.length() + "\r\n\r\n" + list);
+        expect("discovery failed");
+        expect("whole s0 DRAINING");
+    }
 }
