--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -36,8 +36,8 @@
 final class Discovery {
     private static final String PATH = "/catalog/members";
     /**
-     * A watch sends a line every 2 s: one that is silent for longer (ms) is dead. What it misses counts as told
-     * 6 s after its end, which may be as soon as its last line, and the next one has still to open.
+     * A watch sends a line every 2 s: one that is silent for longer (ms) is dead. What it misses counts as
+     * told 6 s after its end, which may be as soon as its last line, and the next one has still to open.
      */
     private static final double SILENT = 4200;
     /** The watches of all nodes may fall silent at once: each is opened anew at a time of its own (ms). */
