Hear a SIGHUP that comes while the node comes up

Main.reload dropped the signal until RUNNING was set, which was behind the bind, the file of the handover and the start line. A node that loses it stays with an address that takes no connections any more and hears of no drain. The node is told of before it binds, and a signal before that is kept.

--- a/src/main/java/willowyoke/Hangup.java
+++ b/src/main/java/willowyoke/Hangup.java
@@ -5,19 +5,21 @@
 /**
  * SIGHUP, which would end a JVM. The module jdk.unsupported has the one way to catch a signal; by reflection,
  * as a compiler that takes warnings for errors refuses its names, and they cannot be excused in the source.
+ * What comes before there is anyone to tell is kept: the configuration has been read by then.
  */
 final class Hangup {
-    private Hangup() { }
+    private Runnable then;
+    private boolean missed;
 
-    /** From here on each SIGHUP runs this, on a thread of the JVM's own. */
-    static void caught(Runnable then) {
+    /** Catches each SIGHUP from here on, on a thread of the JVM's own. */
+    void caught() {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object proxy = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
                 (self, method, args) -> switch (method.getName()) {
                     case "handle" -> {
-                        then.run();
+                        came();
                         yield null;
                     }
                     case "hashCode" -> System.identityHashCode(self);
@@ -30,4 +32,22 @@
             System.err.println("SIGHUP cannot be caught: " + e);
         }
     }
+
+    /** A signal has come. */
+    synchronized void came() {
+        if (then == null) {
+            missed = true;
+        } else {
+            then.run();
+        }
+    }
+
+    /** From here on this is run for each, and now for those that have come before, once for all. */
+    synchronized void to(Runnable what) {
+        then = what;
+        if (missed) {
+            missed = false;
+            what.run();
+        }
+    }
 }
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -8,7 +8,6 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicReference;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
 import willowyoke.net.Rehearsal;
@@ -20,14 +19,14 @@
  * {@code rehearse} starts one at build time for the archive of classes.
  */
 public final class Main {
-    private static final AtomicReference<Node> RUNNING = new AtomicReference<>();
+    private static final Hangup HANGUP = new Hangup();
 
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
     public static void main(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("serve")) {
-            Hangup.caught(Main::reload); // before all else: until then SIGHUP ends the process
+            HANGUP.caught(); // before all else: until then SIGHUP ends the process
             serve();
             return;
         }
@@ -59,15 +58,14 @@
     /** The same start among stand-ins, and the same end. */
     private static void rehearse() throws IOException {
         try (Rehearsal stage = new Rehearsal()) {
-            Hangup.caught(Main::reload);
+            HANGUP.caught();
             StartLog.ended("JVM");
-            begin(stage.environment());
-            stage.ask(RUNNING.get());
+            stage.ask(begin(stage.environment()));
             System.exit(0); // the archive is written at the exit, after the drain
         }
     }
 
-    private static void begin(Map<String, String> environment) throws IOException {
+    private static Node begin(Map<String, String> environment) throws IOException {
         // at once: else Netty looks through all jars for three other loggers that are not there
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Config config;
@@ -76,13 +74,15 @@
         } catch (IllegalArgumentException | SettingsReader.Bad bad) {
             System.err.println("configuration: " + bad.getMessage());
             System.exit(2);
-            return;
+            return null;
         }
         StartLog.ended("configuration");
         Warmup.run(config.settings(), Decide::new);
         StartLog.ended("warm-up");
         Node node = new Node(config, Decide::new);
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain")); // SIGTERM may cross the bind
+        // before the bind: who sees the node come up may send the signal in that moment
+        HANGUP.to(() -> node.reload(() -> Config.again(System.getenv())));
         try {
             node.start();
         } catch (IOException bad) {
@@ -90,14 +90,6 @@
             Runtime.getRuntime().halt(1); // nothing was taken: there is nothing to drain
         }
         StartLog.tell("bind");
-        RUNNING.set(node);
-    }
-
-    /** Before the node is up its configuration is as good as new. */
-    private static void reload() {
-        Node node = RUNNING.get();
-        if (node != null) {
-            node.reload(() -> Config.again(System.getenv()));
-        }
+        return node;
     }
 }
--- a/src/test/java/willowyoke/net/ReloadTest.java
+++ b/src/test/java/willowyoke/net/ReloadTest.java
@@ -44,6 +44,35 @@
         }
     }
 
+    /** The signal may come as the node comes up, with the file read before it was replaced. */
+    @Test void discoveryMovesBeforeTheNodeIsUp() throws Exception {
+        Script script = new Script();
+        node = new Node(Config.of(Json.read(config()), Map.of("TMPDIR", state.toString())),
+            (settings, seed, now, actions) -> {
+                script.act = actions;
+                return script;
+            });
+        try (Peer next = new Peer()) {
+            node.reload(() -> moved(next, counter));
+            Thread answering = new Thread(() -> {
+                try {
+                    watch = next.accept();
+                    watch.line();
+                    watch.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+                    push(list(42, false, entry("s0", app.address(), "leaving")));
+                } catch (Exception e) {
+                    told.add("watch: " + e);
+                }
+            });
+            answering.start();
+            node.start();
+            answering.join();
+            expect("whole s0 UP");
+            expect("changes s0 DRAINING");
+            assertEquals(null, discovery.poll(0), "the old place is not asked");
+        }
+    }
+
     /** Calls go to the new counter once it is up, and the old lines end once nothing is owed on them. */
     @Test void theCounterMoves() throws Exception {
         start();
