Ask anew after 0.5 s of a quiet first call, and wait for that before listening

Where lists are pushed the agent's word counts from the first moment of a new process, but Node.start listened by the list known from before as soon as the servers were up, and Discovery waited 5 s for a call that was never answered. Trace lines: agents answer a watch at once, with an empty change if nothing is new, so silence from the start needs no such time. A call has 0.5 s now, doubled each time, and a start waits for it and the next, 0.8 s.

--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -43,13 +43,13 @@
     /** The watches of all nodes may fall silent at once: each is opened anew at a time of its own (ms). */
     private static final double SILENT_SPREAD = 600;
     /**
-     * The whole list comes at once, and the first line of a watch with its first empty one, if not before. A
-     * call that is silent for so long (ms) from its start is asked anew, and the next may be silent for twice
-     * that: where discovery has a line of callers, each that comes again makes it longer.
+     * The agent answers each call at once, a watch too, if only with an empty change. A call that is silent
+     * for so long (ms) from its start is made anew, and the next may be silent for twice that: where
+     * discovery has a line of callers, each that comes again makes it longer. A new process counts as told
+     * from its first moment, and one that had a quiet call went by an old list for 5 s.
      */
-    private static final double LIST_WITHIN = 1000;
-    private static final double WATCH_WITHIN = 2500;
-    private static final double PATIENCE_MOST = 8;
+    private static final double ANSWER_WITHIN = 500;
+    private static final double PATIENCE_MOST = SILENT / ANSWER_WITHIN;
     /**
      * Lists come whole: half a list with nothing behind it for so long (ms) is all that comes, and what it
      * tells must be known within the grace for drains. The watch is asked for anew, from the last whole list.
@@ -266,7 +266,7 @@
         private void ask(ChannelHandlerContext ctx) {
             watching = seq >= 0;
             heardAt = node.now();
-            silence = Math.min(SILENT, patience * (watching ? WATCH_WITHIN : LIST_WITHIN)) + spread();
+            silence = patience * ANSWER_WITHIN;
             patience = Math.min(2 * patience, PATIENCE_MOST);
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 watching ? PATH + "?follow=1&since=" + seq : PATH);
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -38,6 +38,11 @@
     private static final double LAST_WORD = 8;
     /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
     private static final long READY_WITHIN = 4000;
+    /**
+     * A list known from before serves after this (ms), until discovery's comes: seconds later after a mass
+     * kill. Until then discovery is waited for, and one quiet call to it: what it has counts as told.
+     */
+    private static final double LIST_WITHIN = 800;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
@@ -160,8 +165,11 @@
             discovery.ready().thenRun(() -> StartLog.ended("discovery"));
             servers.ready().thenRun(() -> StartLog.ended("servers"));
             counter.ready().thenRun(() -> StartLog.ended("counter"));
-            // a list known from before serves until discovery's comes: seconds later after a mass kill
-            CompletableFuture<?> list = config.known() == null ? discovery.ready() : servers.ready();
+            CompletableFuture<Void> list = new CompletableFuture<>();
+            discovery.ready().thenRun(() -> list.complete(null));
+            if (config.known() != null) {
+                after(LIST_WITHIN, () -> list.complete(null));
+            }
             CompletableFuture.allOf(list, servers.ready(), counter.ready())
                 .thenRun(() -> ready.complete(null));
         });
