Pause between counter calls where one call a gateway is too many

Cause: Decide.crowding held the bound of calls at one a gateway, so 60 to 100 of them stood in the counter's line, and late calls are served all the same. The bound goes below one now, as a pause between calls. QuotaTest.whereOneCallAGatewayIsTooMany... failed before.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -50,6 +50,12 @@
     /** A slow call takes a tenth off the bound, a lost one more: it stays in line though no one waits. */
     private static final double CALLS_DOWN = 0.9;
     private static final double CALLS_DOWN_LOST = 0.7;
+    /** Below one call out a pause is kept between calls, as a large tier needs it: 16 limits at most. */
+    private static final double CALLS_LEAST = 1.0 / 16;
+    /** A quick call shortens that pause by this part, so that six make up for one that is lost. */
+    private static final double CALLS_UP = 1.0 / 16;
+    /** And by no less than this, as there are few calls to learn from where the pause is long. */
+    private static final double CALLS_UP_LEAST = 1.0 / 64;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
     private static final int MISSES = 8;
     /** Open counts get a new name this often (ms): what a killed node held is forgotten by then. */
@@ -489,7 +495,7 @@
 
     private boolean mayCall() {
         return now >= counterSilentUntil && now >= lineUntil
-            && callsOut + 1 <= (misses >= MISSES ? 1 : window);
+            && callsOut + 1 <= (misses >= MISSES ? 1 : Math.max(1, window));
     }
 
     private void onEdge() {
@@ -548,14 +554,18 @@
         if (outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT) {
             window *= CALLS_DOWN_LOST;
             // one call a gateway at least is out again at once, and a tier of them never lets the line go
-            lineUntil = now + limit * (0.5 + random.nextDouble());
-            at(Kind.RETRY, lineUntil, null);
+            pauseCalls(limit);
         } else if (outcome == Gateway.Outcome.OK && took > limit * CALL_SLOW) {
             window *= CALLS_DOWN;
         } else if (outcome == Gateway.Outcome.OK && took < limit * CALL_QUICK && callsOut + 2 > window) {
-            window += 1 / window;
+            window += window < 1 ? Math.max(CALLS_UP_LEAST, window * CALLS_UP) : 1 / window;
         }
-        window = Math.max(1, Math.min(CALLS_MOST, window));
+        window = Math.max(CALLS_LEAST, Math.min(CALLS_MOST, window));
+    }
+
+    private void pauseCalls(double mean) {
+        lineUntil = Math.max(lineUntil, now + mean * (0.5 + random.nextDouble()));
+        at(Kind.RETRY, lineUntil, null);
     }
 
     private long epoch() {
@@ -564,6 +574,9 @@
 
     private void call(Customer c, long name, double amount, Why why) {
         callsOut++;
+        if (window < 1) {
+            pauseCalls(set.allowed().counterTimeout() / window);
+        }
         calls.computeIfAbsent(name, k -> new ArrayDeque<>()).add(new Call(c, why, amount));
         act.count(name, amount, why.ordinal() < Why.TAKE_SLOT.ordinal() ? 2 * ACCOUNT : 2 * OPEN_EPOCH);
     }
@@ -608,7 +621,7 @@
 
     /** When a reading that left nothing is taken again: later where the set is large and calls few. */
     private double readAgain(Customer c) {
-        return READ_AGAIN * Math.max(1, c.spread / window);
+        return READ_AGAIN * Math.max(1, c.spread / Math.max(1, window));
     }
 
     /** Most calls on a connection that breaks were not added: taken as added, a tenth went beyond quotas. */
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -261,6 +261,33 @@
         assertEquals(2, b.count("count"), "and the next by itself soon behind: " + b.log);
     }
 
+    /** Sixty gateways with one call out each: two in three were late, as the counter had a line of them. */
+    @Test void whereOneCallAGatewayIsTooManyThereArePausesBetweenThem() {
+        Bench b = new Bench();
+        b.nodes = 1000;
+        b.start().servers(2000);
+        assertTrue(callsASecond(b, 45) <= 5, "answers close to the limit of 50 ms: a line");
+        assertTrue(callsASecond(b, 5) >= 15, "and none: " + b.log.size());
+    }
+
+    /** In the last 2 s of 12 s of requests for customers not seen before. */
+    private static double callsASecond(Bench b, double took) {
+        double from = b.now;
+        long before = 0;
+        for (double t = from; t < from + 12000; t += took) {
+            b.to(t);
+            before = t < from + 10000 ? b.count("count") : before;
+            b.arrive((long) t, "read", "rate", "c" + t);
+            while (!b.calls.isEmpty()) {
+                long name = b.calls.remove(0)[0];
+                double total = b.totals.remove(0);
+                b.to(b.now + took);
+                b.module.counted(b.now, name, OK, took, total);
+            }
+        }
+        return (b.count("count") - before) / 2.0;
+    }
+
     /** A hundred gateways that read an empty store twice a second left the counter nothing else to do. */
     @Test void anEmptyStoreIsReadAgainLaterWhereItsSetIsLarge() {
         for (int spread : List.of(2, 100)) {
