Hold a request against the quota of its own plan

A customer's state was kept by its name alone, with the plan of its first request: a request of the same customer under another plan was let in, refused and counted by the first one's quota and prices. State and names on the counter go by customer and plan now. QuotaTest.aRequestIsHeldAgainstTheQuotaOfItsOwnPlan failed before.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -355,13 +355,14 @@
             act.refuse(told.id(), 0); // nothing is told of such a class or plan: no quota can be kept for it
             return;
         }
-        Customer c = customers.get(told.customer());
+        String holder = told.customer() + ' ' + told.plan(); // a customer's other plan has a quota of its own
+        Customer c = customers.get(holder);
         if (c == null) {
-            c = new Customer(told.customer(), plan, told.spread(),
+            c = new Customer(holder, plan, told.spread(),
                 Math.floorMod(set.me() - told.first(), set.nodes()), now);
             c.credits = alone(c) ? Math.floor(plan.burst() / c.spread) : 0;
             c.inside = usuallyInside;
-            customers.put(told.customer(), c);
+            customers.put(holder, c);
         }
         c.seen = now;
         c.arrived += told.units();
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -217,6 +217,21 @@
         assertTrue(b.count("send") <= 9, "sent " + b.count("send"));
     }
 
+    /** The plan of a customer's first request was that of all its later ones. */
+    @Test void aRequestIsHeldAgainstTheQuotaOfItsOwnPlan() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 8; i++) {
+            b.arrive(i, "read", "rate", "c");
+            b.answerCounter(OK);
+        }
+        b.arrive(10, "read", "big", "c", 3, 2);
+        b.answerCounter(OK);
+        assertEquals(1, b.count("send 10"), "a thousand units a second: " + b.log);
+        b.arrive(11, "read", "rate", "c");
+        b.answerCounter(OK);
+        assertEquals(0, b.count("send 11"), "the burst of 8 is used up");
+    }
+
     @Test void aLateCallIsMadeUpForByTheNextAdd() {
         Bench b = new Bench().start().servers(8);
         b.arrive(1, "read", "rate", "c");
