Wait before the counter is connected to again and again without an answer

A line that ended was connected again at once, however often: CounterClient.channelInactive. With a counter that takes connections and ends them the loop did nothing else: EndTest counted 13,537 connections in a second (before), at most 40 now. Found by review. The first end in a row is still followed at once (SpoiltTest), each further one after 0.1 to 0.8 s, drawn; an answer begins anew.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -18,6 +18,7 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import willowyoke.Gateway;
@@ -31,7 +32,12 @@
     /** A line that owes an answer for longer (ms) may be dead: what is lost with it has been told. */
     private static final double DEAD = 400;
     private static final int CONNECT = 1500;
+    /**
+     * Wait (ms) before the next connect, up to twice as long each time in a row, drawn, so that not all nodes
+     * come at once. It is short against the silence after which the module asks again by itself.
+     */
     private static final double RECONNECT = 100;
+    private static final double RECONNECT_MOST = 800;
     private static final int MOST_ELEMENTS = 4;
     private static final double LONGEST_LIFE = 60_000;
 
@@ -41,6 +47,7 @@
 
     private final Node node;
     private final double limit;
+    private final SplittableRandom random;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
     /** The lines to a new address, until each can take over from the old one. */
@@ -68,8 +75,9 @@
         }
     }
 
-    CounterClient(Node node, EventLoopGroup group, InetSocketAddress address, double limit) {
+    CounterClient(Node node, EventLoopGroup group, InetSocketAddress address, double limit, long seed) {
         this.node = node;
+        random = new SplittableRandom(seed);
         this.address = address;
         this.limit = limit;
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
@@ -195,6 +203,9 @@
         private final Map<Call, String[]> waiting = new LinkedHashMap<>();
         private boolean connecting;
         private Channel channel;
+        /** Ends in a row with nothing answered before: only behind the first the next line comes at once. */
+        private int ends;
+        private double backoff;
         private double usedAt;
         private boolean ending;
         private Resp.Raw raw;
@@ -258,11 +269,21 @@
                 } else {
                     held.forEach((call, words) -> tell(call, Gateway.Outcome.NO_CONNECTION, 0));
                     node.flush();
-                    node.after(RECONNECT, this::connect);
+                    again();
                 }
             });
         }
 
+        /** The next connect: one broken line is no sign that the counter is away. */
+        private void again() {
+            backoff = ends == 0 ? RECONNECT : Math.min(2 * backoff, RECONNECT_MOST);
+            if (ends++ == 0) {
+                node.later(this::connect);
+            } else {
+                node.after(backoff * (1 + random.nextDouble()) / 2, this::connect);
+            }
+        }
+
         void write(Call call, String... words) {
             calls.add(call);
             usedAt = call.sent;
@@ -275,6 +296,7 @@
             @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
                 try {
                     raw.whole((RedisMessage) msg);
+                    ends = 0;
                     Call call = calls.poll(); // late or not: each answer belongs to the oldest call
                     if (call == null) {
                         ctx.close();
@@ -321,7 +343,7 @@
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
                 broken();
-                node.later(Line.this::connect); // at once: only a connect that fails is tried less often
+                again();
                 node.flush();
             }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -131,7 +131,7 @@
         clients = new ClientListener(this, (int) (config.sockets() * CLIENTS));
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
-            .counterTimeout());
+            .counterTimeout(), config.seed());
         discovery = new Discovery(this, group, config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
--- a/src/test/java/willowyoke/net/EndTest.java
+++ b/src/test/java/willowyoke/net/EndTest.java
@@ -25,6 +25,21 @@
         assertEquals("03", second.message().get(2));
     }
 
+    /** A counter that takes a connection and ends it without a word was called as fast as the loop went. */
+    @Test void aCounterThatEndsEachConnectionIsNotAskedWithoutAPause() throws Exception {
+        start();
+        int came = 0;
+        long until = System.nanoTime() + 1_000_000_000L;
+        for (Peer.Line line = counter.poll(1000); System.nanoTime() < until; line = counter.poll(1000)) {
+            if (line != null) {
+                came++;
+                line.close();
+            }
+        }
+        assertTrue(came >= 8, "each line comes again: " + came);
+        assertTrue(came <= 40, came + " connections of four lines in a second");
+    }
+
     /** A client that leaves while nothing is read from it, with requests before and behind its last. */
     @Test void aClientThatLeavesWhileReadingIsPausedIsNoticed() throws Exception {
         start();
