--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -561,7 +561,9 @@
         } else if (outcome == Gateway.Outcome.OK && took < limit * CALL_QUICK && callsOut + 2 > window) {
             window += window < 1 ? Math.max(CALLS_UP_LEAST, window * CALLS_UP) : 1 / window;
         }
-        window = Math.max(CALLS_LEAST, Math.min(CALLS_MOST, window));
+        // so few calls as of a small tier make no line: late ones there are of a slow loop, or of silence
+        double least = Math.max(CALLS_LEAST, Math.min(1, CALLS / set.nodes()));
+        window = Math.max(least, Math.min(CALLS_MOST, window));
     }
 
     private void pauseCalls(double mean) {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -285,6 +285,28 @@
         assertTrue(callsASecond(b, 5) >= 15, "and none: " + b.log.size());
     }
 
+    /** A counter that was away for some seconds left a gateway of three with pauses of a second and more. */
+    @Test void behindASilenceCallsAreNotPausedAsInACrowd() {
+        Bench b = new Bench().start().servers(100);
+        for (int i = 0; i < 300; i++) {
+            b.to(i * 20);
+            b.arrive(i, "read", "rate", "c" + i);
+            b.answerCounter(Gateway.Outcome.TIMEOUT);
+        }
+        while (b.count("count") == 0 || b.calls.isEmpty()) {
+            b.to(b.now + 20);
+            b.arrive((long) b.now, "read", "rate", "d" + b.now);
+        }
+        b.answerCounter(OK);
+        long before = b.count("count");
+        for (int i = 0; i < 100; i++) {
+            b.to(b.now + 10);
+            b.arrive(100_000 + i, "read", "rate", "e" + i);
+            b.answerCounter(OK);
+        }
+        assertTrue(b.count("count") - before >= 50, "in a second: " + (b.count("count") - before));
+    }
+
     /** In the last 2 s of 12 s of requests for customers not seen before. */
     private static double callsASecond(Bench b, double took) {
         double from = b.now;
