Hear of each change within 6 s of discovery being reachable, from every state

Cause, by review and the walk of the test: a list that trickled and never ended was waited for for ever (each byte counted as heard), as was a list call that was answered with empty lines; a call lost as discovery came back was waited for 4.3 s, and one more silent call made it 8.7; a silent watch took 4.9 s, so a connection that did not come up (1 s) or two silent calls behind it passed 5.75 s. Where the node has no descriptor left, the library tells of a failed connection on a thread of its own, and the module was told there. Clock and connections of Discovery can be replaced. Test: twelve things that become of calls, for 0 to 6 s, then one more, then good calls; pushed and asked for.

--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -26,7 +26,7 @@
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
  * All of it runs on one event loop thread, the module too. It decides nothing.
  */
-public final class Node implements Gateway.Actions {
+public final class Node implements Gateway.Actions, Discovery.Host {
     /** How a decision module is made. */
     public interface Maker {
         Gateway.Events start(Gateway.Settings settings, long seed, double now, Gateway.Actions actions);
@@ -132,7 +132,7 @@
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout(), config.seed());
-        discovery = new Discovery(this, group, config);
+        discovery = new Discovery(this, Discovery.sockets(group), config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
         metrics = new Metrics(config.settings().classes());
@@ -272,12 +272,12 @@
      * The module's clock: milliseconds of one monotonic clock, set once to Unix time. So born_ms needs no
      * translation, and the names on the counter, which the module cuts by time, are alike at all edge nodes.
      */
-    double now() {
+    @Override public double now() {
         return startedMs + (System.nanoTime() - startedNanos) / 1e6;
     }
 
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
-    Future<?> after(double delay, Runnable what) {
+    @Override public Future<?> after(double delay, Runnable what) {
         long nanos = Math.max(0, Math.round(delay * 1e6));
         return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
     }
@@ -307,7 +307,7 @@
         }
     }
 
-    void log(String where, Throwable what) {
+    @Override public void log(String where, Throwable what) {
         if (++logged > LOGGED) {
             return;
         }
@@ -320,7 +320,7 @@
     }
 
     /** Writes out what the events of this round have left on the connections. */
-    void flush() {
+    @Override public void flush() {
         if (!dirty.isEmpty()) {
             Channel[] all = dirty.toArray(new Channel[0]);
             dirty.clear();
@@ -508,7 +508,7 @@
     }
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
-    void listed(List<Discovery.Member> members, boolean whole) {
+    @Override public void listed(List<Discovery.Member> members, boolean whole) {
         servers.listed(members, whole);
         List<Gateway.Server> list = new ArrayList<>(members.size());
         for (Discovery.Member m : members) {
@@ -517,7 +517,7 @@
         tell(m -> m.servers(now(), list, whole));
     }
 
-    void discoveryFailed() {
+    @Override public void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
 
--- /dev/null
+++ b/src/test/java/willowyoke/net/DiscoveryTest.java
@@ -0,0 +1,241 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.Future;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** On one fake clock: what discovery has is heard of in time, whatever became of the calls before. */
+class DiscoveryTest {
+    /** A change counts as told by then (ms), less the grace for a drain. */
+    private static final double TOLD = 6000 - 250;
+
+    /** What becomes of a call. */
+    private enum Way {
+        TELLS, NO_CONNECTION, NOT_UP, RESET, NO_ANSWER, HEAD, EMPTY_LINES, TRICKLE, HALF, REFUSAL,
+        REFUSAL_OPEN, NO_END
+    }
+
+    /** Between the empty lines of a watch (ms). */
+    private static final double ALIVE = 2000;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+    /** The node, the module's own pauses where lists are asked for, the network, and the agent behind it. */
+    private static final class World implements Discovery.Host, Discovery.Connector {
+        private record Task(double due, long number, Runnable what) { }
+
+        private final PriorityQueue<Task> tasks = new PriorityQueue<>(
+            Comparator.comparingDouble(Task::due).thenComparingLong(Task::number));
+        private final Map<EmbeddedChannel, Way> open = new LinkedHashMap<>();
+        private final Random random = new Random(7);
+        private final boolean asked;
+        private final Discovery discovery;
+        private double now;
+        private double backoff = 1000;
+        private long number;
+        private Way way = Way.TELLS;
+        /** What becomes of the next call alone, or null. */
+        private Way once;
+        private boolean news;
+        private boolean silent;
+        private double heard = Double.MAX_VALUE;
+
+        World(boolean asked) {
+            this.asked = asked;
+            discovery = new Discovery(this, this, Config.of(json("""
+                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","name":"n","seed":"5","settings":{"rank":0,
+                 "group_size":1,"request_classes":[{"name":"r","effect":"read_like","aim":6,"hard_limit":9}],
+                 "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""), Map.of()));
+        }
+
+        private static Json json(String text) {
+            try {
+                return Json.read(text);
+            } catch (java.io.IOException e) {
+                throw new IllegalArgumentException(e);
+            }
+        }
+
+        void to(double time) {
+            while (tasks.peek().due <= time && heard == Double.MAX_VALUE) {
+                Task task = tasks.poll();
+                now = task.due;
+                task.what.run();
+                settle();
+            }
+            now = time;
+        }
+
+        /** Lets the channels run what they have set off, and answers what they ask. */
+        private void settle() {
+            for (EmbeddedChannel c : List.copyOf(open.keySet())) {
+                c.runPendingTasks();
+                StringBuilder asked = new StringBuilder();
+                for (ByteBuf out = c.readOutbound(); out != null; out = c.readOutbound()) {
+                    asked.append(out.toString(StandardCharsets.US_ASCII));
+                    out.release();
+                }
+                if (!asked.isEmpty()) {
+                    boolean watch = asked.indexOf("follow=1") > 0;
+                    after(0, () -> answer(c, open.get(c), watch));
+                }
+                if (!c.isOpen()) {
+                    open.remove(c);
+                }
+            }
+        }
+
+        @Override public ChannelFuture connect(InetSocketAddress to, ChannelHandler handler) {
+            Way then = once == null ? way : once;
+            once = null;
+            if (then == Way.NO_CONNECTION || then == Way.NOT_UP) {
+                ChannelPromise promise = new EmbeddedChannel().newPromise();
+                after(then == Way.NOT_UP ? Discovery.CONNECT : 0,
+                    () -> promise.setFailure(new ConnectException()));
+                return promise;
+            }
+            EmbeddedChannel c = new EmbeddedChannel(handler);
+            open.put(c, then);
+            after(0, () -> { });
+            return c.newSucceededFuture();
+        }
+
+        private static void write(EmbeddedChannel c, String text) {
+            if (c.isOpen()) {
+                c.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+            }
+        }
+
+        private static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+
+        /** Text again and again, as long as the connection stands; a watch that had told falls silent. */
+        private void keep(EmbeddedChannel c, double every, String text) {
+            after(every, () -> {
+                if (c.isOpen() && !(silent && every == ALIVE)) {
+                    write(c, text);
+                    keep(c, every, text);
+                }
+            });
+        }
+
+        private void answer(EmbeddedChannel c, Way then, boolean watch) {
+            String host = NodeFixture.entry(news ? "news" : "s", "127.0.0.1:9", "active");
+            String list = NodeFixture.list(41, !watch, host) + "\n";
+            switch (then == Way.NO_END && watch ? Way.TELLS : then) {
+                case TELLS -> {
+                    write(c, HEAD + chunk(list) + (watch ? "" : "0\r\n\r\n"));
+                    if (watch) {
+                        keep(c, ALIVE, chunk("\n"));
+                    }
+                }
+                case RESET -> c.close();
+                case HEAD -> write(c, HEAD);
+                case EMPTY_LINES -> {
+                    write(c, HEAD); // a watch that says so has nothing to tell: that is for a list alone
+                    keep(c, 50, watch ? "" : chunk("\n"));
+                }
+                case TRICKLE -> {
+                    write(c, HEAD + chunk("{\"seq\":"));
+                    keep(c, 50, chunk("1"));
+                }
+                case HALF -> write(c, HEAD + chunk(list.substring(0, 40)));
+                case REFUSAL -> write(c, "HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n");
+                case REFUSAL_OPEN -> {
+                    write(c, "HTTP/1.1 503 Down\r\ncontent-length: 999999\r\n\r\n");
+                    keep(c, 50, "x");
+                }
+                case NO_END -> write(c, HEAD + chunk(NodeFixture.list(41, true)));
+                default -> { }
+            }
+        }
+
+        @Override public double now() {
+            return now;
+        }
+
+        @Override public Future<?> after(double delay, Runnable what) {
+            tasks.add(new Task(now + Math.max(0, delay), number++, what));
+            return null;
+        }
+
+        @Override public void listed(List<Discovery.Member> members, boolean whole) {
+            if (members.stream().anyMatch(m -> m.server().id().equals("news"))) {
+                heard = now;
+            }
+        }
+
+        /** Where lists are asked for the module asks again too, after pauses of up to 12 s. */
+        @Override public void discoveryFailed() {
+            if (asked) {
+                after(backoff * (0.5 + random.nextDouble()), discovery::subscribe);
+                backoff = Math.min(2 * backoff, 8000);
+            }
+        }
+
+        @Override public void flush() { }
+
+        @Override public void log(String where, Throwable what) { }
+    }
+
+    /** The time (ms) until news is heard: calls of one way for some time, one of another, then good ones. */
+    private static double delay(boolean asked, Way before, double lasting, boolean moved, Way once) {
+        World w = new World(asked);
+        w.discovery.start(null);
+        w.after(0, () -> { });
+        w.to(3000);
+        w.way = before;
+        if (before != Way.TELLS) {
+            List.copyOf(w.open.keySet()).forEach(EmbeddedChannel::close);
+        }
+        w.to(3000 + Math.max(0, lasting - 200));
+        if (moved) {
+            w.discovery.move(new InetSocketAddress("127.0.0.1", 2));
+            w.settle();
+        }
+        w.to(3000 + lasting);
+        w.way = Way.TELLS;
+        w.once = once;
+        w.news = true;
+        w.silent = true; // the watch that stands, too
+        w.to(30_000);
+        return w.heard - 3000 - lasting;
+    }
+
+    @ParameterizedTest @ValueSource(booleans = {false, true})
+    void newsIsHeardInTimeFromEveryState(boolean asked) {
+        double worst = 0;
+        String state = "";
+        for (Way before : Way.values()) {
+            for (Way once : Way.values()) {
+                for (int i = 0; i < 14; i++) {
+                    double lasting = 457 * i;
+                    double delay = delay(asked, before, lasting, i % 4 == 3, once);
+                    if (delay > worst) {
+                        worst = delay;
+                        state = before + " for " + lasting + ", then " + once;
+                    }
+                }
+            }
+        }
+        assertTrue(worst <= TOLD, state + ": " + worst);
+        assertTrue(worst > 3000, "the states are gone through: " + worst);
+    }
+}
