A server's address is one number in the list's own record

The pool and the module each had a part of an entry; now the module can keep all that is known of a server outside the host, and Discovery needs no pair of its own. No change of behaviour; all tests pass.

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -53,9 +53,12 @@
         int mostUnits, List<String> loadFields, List<RequestClass> classes, List<Plan> plans,
         Allowed allowed, Rules rules, Prices prices) { }
 
-    /** A server as the list names it; startedAt is 0 where it started long ago. */
+    /**
+     * A server as the list names it; startedAt is 0 where it started long ago. Where it listens is the host's
+     * own affair: the module keeps the number and gives it back, 0 where there is none.
+     */
     record Server(String id, int cell, String zone, State state, String kind, double startedAt,
-        double weight) { }
+        double weight, long dial) { }
 
     /** A request as it arrived. */
     record Request(long id, String type, String plan, String customer, double patience, int units,
--- a/src/main/java/willowyoke/Wire.java
+++ b/src/main/java/willowyoke/Wire.java
@@ -187,7 +187,7 @@
                 default -> throw bad("condition", "unknown condition " + shown(part[4]));
             };
             list.add(new Gateway.Server(field(3, "server"), (int) wholeOr(1, "pack"), field(2, "region_part"),
-                state, field(5, "kind"), numberOr(6, "start_time"), numberOr(7, "units")));
+                state, field(5, "kind"), numberOr(6, "start_time"), numberOr(7, "units"), 0));
         }
         if (kind.equals("error")) {
             to.discoveryFailed(now);
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -1,7 +1,10 @@
 package willowyoke.net;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -84,6 +87,25 @@
         }
     }
 
+    /** An address in one number, IPv4 before the port: 200,000 of them are kept. */
+    static long dial(String hostAndPort) {
+        InetSocketAddress at = address(hostAndPort);
+        byte[] ip = at.isUnresolved() ? new byte[0] : at.getAddress().getAddress();
+        if (ip.length != Integer.BYTES) {
+            throw new IllegalArgumentException("an IPv4 address expected, found '" + hostAndPort + "'");
+        }
+        return Integer.toUnsignedLong(ByteBuffer.wrap(ip).getInt()) << Short.SIZE | at.getPort();
+    }
+
+    static InetSocketAddress address(long dial) {
+        try {
+            byte[] ip = ByteBuffer.allocate(Integer.BYTES).putInt((int) (dial >>> Short.SIZE)).array();
+            return new InetSocketAddress(InetAddress.getByAddress(ip), (int) (dial & 0xffff));
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e); // four bytes are an address
+        }
+    }
+
     /** The settings as the simulator's wire writes them: a path a value, lists of plain values by commas. */
     private static void flatten(String path, Json node, Map<String, String> keys) {
         String at = path.isEmpty() ? "" : path + ".";
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -65,9 +65,6 @@
     /** No list is as long as this (bytes); one that grows past it ends the connection. */
     private static final int LONGEST_LIST = 8 << 20;
 
-    /** A server as the module knows it, and where it listens. */
-    record Member(Gateway.Server server, InetSocketAddress dial) { }
-
     private final Node node;
     private final Bootstrap bootstrap;
     private final SplittableRandom random;
@@ -172,17 +169,17 @@
         if (!told.get("hosts").isArray()) {
             return false;
         }
-        List<Member> members = new ArrayList<>();
+        List<Gateway.Server> servers = new ArrayList<>();
         for (Json h : told.get("hosts").elements()) {
             try {
-                members.add(member(h));
+                servers.add(server(h));
             } catch (IllegalArgumentException e) {
                 node.log("discovery", e); // the others are of use
             }
         }
         boolean whole = told.get("whole").isTrue();
         seq = current ? (long) told.get("seq").number(seq) : seq;
-        node.listed(members, whole);
+        node.listed(servers, whole);
         if (current && whole) {
             left.forEach(Channel::close);
             left.clear();
@@ -190,17 +187,17 @@
         return true;
     }
 
-    private static Member member(Json h) {
+    private static Gateway.Server server(Json h) {
         Gateway.State state = switch (h.get("health").text("")) {
             case "active" -> Gateway.State.UP;
             case "left" -> Gateway.State.GONE;
             default -> Gateway.State.DRAINING; // leaving, or a word to come: nothing new is the safe reading
         };
         String dial = h.get("dial").text("");
-        return new Member(new Gateway.Server(h.get("host").text(""), (int) h.get("block").number(0),
+        return new Gateway.Server(h.get("host").text(""), (int) h.get("block").number(0),
             h.get("site").text(""), state, h.get("class").text(""), h.get("born_ms").number(0),
-            h.get("share").number(1)),
-            state == Gateway.State.GONE && dial.isEmpty() ? null : Config.address(dial));
+            h.get("share").number(1),
+            state == Gateway.State.GONE && dial.isEmpty() ? 0 : Config.dial(dial));
     }
 
     /** What the body of an answer holds: lists, which may be indented, with empty lines between them. */
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -508,12 +508,8 @@
     }
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
-    void listed(List<Discovery.Member> members, boolean whole) {
-        servers.listed(members, whole);
-        List<Gateway.Server> list = new ArrayList<>(members.size());
-        for (Discovery.Member m : members) {
-            list.add(m.server());
-        }
+    void listed(List<Gateway.Server> list, boolean whole) {
+        servers.listed(list, whole);
         tell(m -> m.servers(now(), list, whole));
     }
 
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -84,14 +83,14 @@
 
     /** A server as the list has it, with its connections. */
     private static final class Target {
-        final InetSocketAddress dial;
+        final long dial;
         final ArrayDeque<Link> idle = new ArrayDeque<>();
         final Set<Link> links = new LinkedHashSet<>();
         final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
         int connecting;
         boolean up;
 
-        Target(InetSocketAddress dial) {
+        Target(long dial) {
             this.dial = dial;
         }
 
@@ -141,30 +140,30 @@
 
     // ---- the list ----
 
-    void listed(List<Discovery.Member> members, boolean whole) {
+    void listed(List<Gateway.Server> list, boolean whole) {
         if (whole) {
             Set<String> kept = new HashSet<>();
-            members.forEach(m -> kept.add(m.server().id()));
+            list.forEach(s -> kept.add(s.id()));
             for (String id : targets.keySet().toArray(new String[0])) {
                 if (!kept.contains(id)) {
                     leave(targets.remove(id));
                 }
             }
         }
-        for (Discovery.Member m : members) {
-            String id = m.server().id();
+        for (Gateway.Server s : list) {
+            String id = s.id();
             Target old = targets.get(id);
-            if (m.server().state() == Gateway.State.GONE) {
+            if (s.state() == Gateway.State.GONE) {
                 leave(targets.remove(id));
                 continue;
             }
             Target t = old;
-            if (old == null || !old.dial.equals(m.dial())) {
+            if (old == null || old.dial != s.dial()) {
                 leave(old);
-                t = new Target(m.dial());
+                t = new Target(s.dial());
                 targets.put(id, t);
             }
-            t.up = m.server().state() == Gateway.State.UP;
+            t.up = s.state() == Gateway.State.UP;
             if (!t.up) {
                 leave(t);
             } else if (t.links.isEmpty() && t.connecting == 0) {
@@ -333,7 +332,7 @@
                 link.raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS, link);
                 channel.pipeline().addLast(link);
             }
-        }).connect(t.dial);
+        }).connect(Config.address(t.dial));
         connected.addListener(f -> {
             t.connecting--;
             if (!f.isSuccess()) {
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -49,7 +49,7 @@
         module = maker.start(settings, 1, now, this);
         List<Gateway.Server> list = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
-            list.add(new Gateway.Server("w" + i, i, settings.zone(), Gateway.State.UP, "", 0, 1));
+            list.add(new Gateway.Server("w" + i, i, settings.zone(), Gateway.State.UP, "", 0, 1, 0));
         }
         module.servers(now, list, true);
     }
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -69,7 +69,7 @@
     }
 
     static Gateway.Server server(int i, Gateway.State state, double startedAt) {
-        return new Gateway.Server("s" + i, i / 2, i / 2 % 2 == 0 ? "a" : "b", state, "k", startedAt, 1);
+        return new Gateway.Server("s" + i, i / 2, i / 2 % 2 == 0 ? "a" : "b", state, "k", startedAt, 1, 0);
     }
 
     /** Other gateways add to every name, at this rate since the last time. */
