--- a/src/test/java/willowyoke/net/DiscoveryTest.java
+++ b/src/test/java/willowyoke/net/DiscoveryTest.java
@@ -20,6 +20,7 @@
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import willowyoke.Gateway;
 
 /** On one fake clock: what discovery has is heard of in time, whatever became of the calls before. */
 class DiscoveryTest {
@@ -176,8 +177,8 @@
             return null;
         }
 
-        @Override public void listed(List<Discovery.Member> members, boolean whole) {
-            if (members.stream().anyMatch(m -> m.server().id().equals("news"))) {
+        @Override public void listed(List<Gateway.Server> list, boolean whole) {
+            if (list.stream().anyMatch(s -> s.id().equals("news"))) {
                 heard = now;
             }
         }
