Bound the start by one sum, counted from the program's first line

Cause, by review of Main and Node.start: up to 4 s of waits came on top of whatever JVM and warm-up had taken, also with a list known from before where only connections were missing; the warm-up had no bound of time (40 rounds, on a seventh of a core beside others that start). Change: Readiness holds the waits and their table: 0.8 s for discovery with a list known from before, 2 s for connections then, 4 s without any list, all less what the start has spent before, 5 s in sum; the warm-up ends after 2.5 s. A list from before that fails in the reader no longer leaves the other parts unstarted. Tests: every mix of silent parts, and 0 to 9 s spent, on a fake clock (fails with 4 s and nothing taken off: 4000 for 2000); warm-up on a fake clock (fails without the bound: 20 s for 2.5); a node between silent peers answers PING.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -84,7 +84,7 @@
         // before the bind: who sees the node come up may send the signal in that moment
         HANGUP.to(() -> node.reload(() -> Config.again(System.getenv())));
         try {
-            node.start();
+            node.start(StartLog.spent());
         } catch (IOException bad) {
             System.err.println("start: " + bad.getMessage());
             Runtime.getRuntime().halt(1); // nothing was taken: there is nothing to drain
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -36,13 +36,8 @@
     private static final double WAY_BACK = 10;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
-    /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
-    private static final long READY_WITHIN = 4000;
-    /**
-     * A list known from before serves after this (ms), until discovery's comes: seconds later after a mass
-     * kill. Until then discovery is waited for, and one quiet call to it: what it has counts as told.
-     */
-    private static final double LIST_WITHIN = 800;
+    /** A loop that is held up by its own work is waited for no longer than this (ms) past the waits. */
+    private static final long LOOP_LATE = 1000;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
@@ -141,8 +136,16 @@
 
     // ---- life ----
 
-    /** Comes up, and listens only once it is ready: a front takes in what answers. */
-    public void start() throws IOException {
+    /** As the first thing that its process does. */
+    void start() throws IOException {
+        start(0);
+    }
+
+    /**
+     * Comes up, and listens only once it is ready: a front takes in what answers. The process has spent so
+     * long (ms) on its start before; see {@link Readiness}.
+     */
+    public void start(double spent) throws IOException {
         if (config.control() != null) {
             control = admin.bind(group, config.control()); // from here on who asks is told: not yet
         }
@@ -155,35 +158,33 @@
                 ready.completeExceptionally(e);
                 return;
             }
+            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
+            servers.ready().thenRun(() -> StartLog.ended("servers"));
+            counter.ready().thenRun(() -> StartLog.ended("counter"));
             cordons(out); // before the first attempt
             cordons.start();
-            discovery.start(config.known());
+            guarded(() -> discovery.start(config.known())); // whatever that list is: discovery has another
             counter.start();
             servers.start();
             clients.start();
             StartLog.ended("loop and module");
-            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
-            servers.ready().thenRun(() -> StartLog.ended("servers"));
-            counter.ready().thenRun(() -> StartLog.ended("counter"));
-            CompletableFuture<Void> list = new CompletableFuture<>();
-            discovery.ready().thenRun(() -> list.complete(null));
-            if (config.known() != null) {
-                after(LIST_WITHIN, () -> list.complete(null));
-            }
-            CompletableFuture.allOf(list, servers.ready(), counter.ready())
-                .thenRun(() -> ready.complete(null));
+            Readiness.of(this, spent, config.known() != null, discovery.ready(), servers.ready(),
+                counter.ready()).thenRun(() -> ready.complete(null));
         });
         try {
-            ready.get(READY_WITHIN, TimeUnit.MILLISECONDS);
+            ready.get((long) Readiness.LIST_WITHOUT + LOOP_LATE, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
-            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
-                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+            System.err.println("ready, with the loop held up");
         } catch (java.util.concurrent.ExecutionException e) {
             throw new IOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
         }
+        if (!(discovery.ready().isDone() && servers.ready().isDone() && counter.ready().isDone())) {
+            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
+                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+        }
         try {
             if (handover.beside()) {
                 clients.bound((int) (config.sockets() * CLIENTS_BESIDE));
--- a/src/main/java/willowyoke/net/StartLog.java
+++ b/src/main/java/willowyoke/net/StartLog.java
@@ -15,10 +15,16 @@
     private static final int SYSTEM = 12;
     private static final int STARTED = 19;
     private static final int TICK = 10;
+    private static final long BEGUN = System.nanoTime();
     private static final StringBuilder TEXT = new StringBuilder("start, wall/CPU ms:");
 
     private StartLog() { }
 
+    /** How long (ms) the program has run since its first line here. */
+    public static double spent() {
+        return (System.nanoTime() - BEGUN) / 1e6;
+    }
+
     /** A part has ended. */
     public static synchronized void ended(String part) {
         TEXT.append(' ').append(part).append(' ').append(times()).append(',');
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.DoubleSupplier;
 import willowyoke.Gateway;
 
 /**
@@ -27,6 +28,11 @@
      * requests warm the rest.
      */
     private static final int ROUNDS = 40;
+    /**
+     * Of the 10 s, and on short days 6 s, that a start may take, this (ms) is the most that goes here: on a
+     * seventh of a core beside others that start it would be more, and a cold node is better than none.
+     */
+    static final double MOST_TIME = 2500;
     private static final int SERVERS = 8;
     private static final int CUSTOMERS = 97;
     private static final double STEP = 8;
@@ -56,10 +62,15 @@
 
     /** Cold code is no reason not to start: what goes wrong here is told and left. */
     public static void run(Gateway.Settings settings, Node.Maker maker) {
+        run(settings, maker, () -> System.nanoTime() / 1e6);
+    }
+
+    static void run(Gateway.Settings settings, Node.Maker maker, DoubleSupplier clock) {
         try {
+            double until = clock.getAsDouble() + MOST_TIME;
             Warmup warmup = new Warmup(settings, maker);
             boolean able = !settings.classes().isEmpty() && !settings.plans().isEmpty();
-            for (int i = 1; able && i <= ROUNDS; i++) {
+            for (int i = 1; able && i <= ROUNDS && clock.getAsDouble() < until; i++) {
                 warmup.round(i);
             }
             warmup.close();
--- a/src/test/java/willowyoke/net/DiscoveryTest.java
+++ b/src/test/java/willowyoke/net/DiscoveryTest.java
@@ -38,7 +38,7 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
     /** The node, the module's own pauses where lists are asked for, the network, and the agent behind it. */
-    private static final class World implements Discovery.Host, Discovery.Connector {
+    static final class World implements Discovery.Host, Discovery.Connector {
         private record Task(double due, long number, Runnable what) { }
 
         private final PriorityQueue<Task> tasks = new PriorityQueue<>(
@@ -74,7 +74,7 @@
         }
 
         void to(double time) {
-            while (tasks.peek().due <= time && heard == Double.MAX_VALUE) {
+            while (!tasks.isEmpty() && tasks.peek().due <= time && heard == Double.MAX_VALUE) {
                 Task task = tasks.poll();
                 now = task.due;
                 task.what.run();
--- /dev/null
+++ b/src/test/java/willowyoke/net/ReadinessTest.java
@@ -0,0 +1,96 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A node that starts again is ready in time, whoever is silent: the others carry its load until then. */
+class ReadinessTest extends NodeFixture {
+    private boolean known = true;
+
+    @Override String config() {
+        String text = super.config();
+        return known ? text : text.replace("\"known\":", "\"other\":");
+    }
+
+    /** The time (ms) of a start from the program's first line, with those that never come up by bits. */
+    private static double ready(double spent, boolean known, int never) {
+        DiscoveryTest.World clock = new DiscoveryTest.World(false);
+        CompletableFuture<?>[] parts = new CompletableFuture<?>[3];
+        for (int i = 0; i < 3; i++) {
+            CompletableFuture<Void> part = new CompletableFuture<>();
+            parts[i] = part;
+            if ((never >> i & 1) == 0) {
+                clock.after(100, () -> part.complete(null));
+            }
+        }
+        double[] at = {Double.MAX_VALUE};
+        Readiness.of(clock, spent, known, parts[0].thenRun(() -> { }), parts[1].thenRun(() -> { }),
+            parts[2].thenRun(() -> { })).thenRun(() -> at[0] = clock.now());
+        clock.to(20_000);
+        return spent + at[0];
+    }
+
+    @Test void theWaitsOfAStartAreBoundedInSum() {
+        assertEquals(100, ready(0, true, 0), "nothing is waited for that is there");
+        assertEquals(800, ready(0, true, 1), "a list known from before serves");
+        assertEquals(2000, ready(0, true, 4), "connections are made when they are asked for");
+        assertEquals(4000, ready(0, false, 7), "without a list there is nothing to serve by");
+        for (int never = 0; never < 8; never++) {
+            for (double spent = 0; spent <= 9000; spent += 300) {
+                assertTrue(ready(spent, true, never) <= Math.max(5000, spent + 800));
+                assertTrue(ready(spent, true, never) <= spent + 2000);
+                assertTrue(ready(spent, false, never) <= Math.max(5000, spent + 800));
+            }
+        }
+        assertTrue(Warmup.MOST_TIME + 800 <= 5000, "the longest warm-up leaves time for a quiet call");
+    }
+
+    /** Counter and app servers take connections and say nothing, and discovery may do the same. */
+    @ParameterizedTest @ValueSource(strings = {"discovery answers", "all silent", "all silent, no list"})
+    void aNodeListensWhoeverIsSilent(String how) throws Exception {
+        known = !how.endsWith("no list");
+        if (how.startsWith("discovery")) {
+            Thread agent = new Thread(() -> {
+                try {
+                    answerWatch();
+                } catch (Exception e) {
+                    told.add("watch: " + e);
+                }
+            });
+            agent.setDaemon(true);
+            agent.start();
+        }
+        Script script = new Script();
+        node = new Node(Config.of(Json.read(config()), Map.of("TMPDIR", state.toString())),
+            (settings, seed, now, actions) -> {
+                script.act = actions;
+                return script;
+            });
+        node.start();
+        assertNotNull(node.address());
+        Peer.Line client = client();
+        client.command("PING");
+        assertEquals(List.of("+PONG"), client.message());
+    }
+
+    /** A list from before that cannot be taken is no reason to wait for anything, or not to start. */
+    @Test void aSpoiltListFromBeforeIsNoReasonNotToStart() throws Exception {
+        Script script = new Script();
+        String text = config().replaceAll("\"known\":.*\\n", "\"known\":{\"whole\":true,\"hosts\":[5]},\n");
+        node = new Node(Config.of(Json.read(text), Map.of("TMPDIR", state.toString())),
+            (settings, seed, now, actions) -> {
+                script.act = actions;
+                return script;
+            });
+        node.start();
+        assertNotNull(node.address());
+    }
+}
