See a client's end while its commands are held back, under both transports

Cause: while many commands were open or memory was full, nothing was read from a client, and an end is seen only by reading. Epoll tells it unasked, NIO does not: the requests of a client that had gone were sent on until their deadlines. A command that came together with its client's end was sent on before the end was read; of many ends in one round of the loop the first gave its turn to a client whose own end had not been told; and an attempt without a connection stayed in line to its time-out.

Change: ReadAhead, first on a client's connection, reads on within a bound while commands are held back, and passes what came behind the round of the loop in which it came. An attempt asks whether its client's connection is open, and one that waits, or whose last byte is not out, ends as not sent when the client goes. NIO reads up to an end that came with the last bytes.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -58,6 +58,7 @@
     private final Set<Connection> open = new LinkedHashSet<>();
     /** Those that have sent no whole command yet, the oldest first. */
     private final Set<Connection> silent = new LinkedHashSet<>();
+    private final ReadAhead.Shared shared;
     private Channel listener;
     private boolean closing;
     private boolean unbinding;
@@ -65,6 +66,7 @@
     ClientListener(Node node, int most) {
         this.node = node;
         this.most = most;
+        shared = new ReadAhead.Shared(node);
     }
 
     /** Binds; throws where the address cannot be had. */
@@ -79,10 +81,12 @@
                     channel.pipeline().addLast(new Queue());
                 }
             })
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.toTheEnd())
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNSENT / 2, UNSENT))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
+                    channel.pipeline().addLast(c.ahead);
                     c.raw = Resp.codec(channel.pipeline(), MOST_WORDS, c);
                     channel.pipeline().addLast(c);
                     open.add(c);
@@ -158,7 +162,7 @@
         Connection half = null;
         double before = node.now() - ASKS_WITHIN;
         for (Connection c : silent) {
-            if (!c.deaf && c.raw.pending == 0 && c.bornAt < before) {
+            if (!c.deaf && !c.begun() && c.bornAt < before) {
                 return c;
             }
             half = half == null && !c.deaf && c.bornAt < before ? c : half;
@@ -206,7 +210,7 @@
 
     /** Reads on where connections were held back for memory. */
     void resume() {
-        for (Connection c : open) {
+        for (Connection c : open.toArray(new Connection[0])) {
             c.hold();
         }
     }
@@ -242,8 +246,9 @@
             connection.drain();
         }
 
-        io.netty.buffer.ByteBufAllocator alloc() {
-            return connection.channel.alloc();
+        /** The client has gone, also where that has not been told yet: a round may bring many ends. */
+        boolean isClosed() {
+            return !connection.channel.isActive();
         }
     }
 
@@ -251,6 +256,7 @@
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
         private final double bornAt = node.now();
+        private final ReadAhead ahead = new ReadAhead(shared);
         private Resp.Raw raw;
         /** Since when a whole command is waited for; never where none has begun. */
         private double silentFrom = bornAt;
@@ -260,7 +266,6 @@
         private ArrayRedisMessage bodyCommand;
         private boolean bodyOwned;
         private boolean deaf;
-        private boolean broken;
         private boolean finished;
 
         Connection(SocketChannel channel) {
@@ -354,15 +359,14 @@
             }
         }
 
-        /** Reading stops while too much is unanswered, unread by the client, or held by all. */
+        /** Nothing more is taken while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
-            boolean read = deaf && !broken || !deaf
-                && slots.size() < PIPELINED && channel.isWritable()
+            boolean take = deaf || slots.size() < PIPELINED && channel.isWritable()
                 && (body == null ? !node.full() : body.wants());
-            if (channel.config().isAutoRead() != read) {
-                channel.config().setAutoRead(read);
-                if (read && body != null) {
-                    silentFrom = node.now(); // it was we who did not read
+            if (ahead.held() == take) {
+                ahead.hold(!take);
+                if (take && body != null) {
+                    silentFrom = node.now(); // it was we who did not take it
                 }
             }
         }
@@ -378,14 +382,19 @@
             if (slots.isEmpty() && (closing || deaf)) {
                 finish();
             }
-            if (!channel.config().isAutoRead()) {
+            if (ahead.held()) {
                 hold();
             }
         }
 
+        /** Something has come that is no whole command yet, or has not been looked at. */
+        private boolean begun() {
+            return raw.pending != 0 || !ahead.isEmpty();
+        }
+
         /** Nothing is asked and nothing has begun to come. */
         private boolean between() {
-            return slots.isEmpty() && raw.pending == 0 && !deaf;
+            return slots.isEmpty() && !begun() && !deaf;
         }
 
         private void finishIdle() {
@@ -399,7 +408,7 @@
             if (!finished) {
                 finished = true;
                 deaf = true;
-                channel.config().setAutoRead(!broken);
+                hold();
                 channel.eventLoop().schedule(() -> channel.close(), UNREAD, TimeUnit.MILLISECONDS);
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
@@ -455,7 +464,7 @@
 
         /**
          * There is no telling where the next command begins. What is open on the connection fails at once, so
-         * that the error is not late behind it, and nothing more is read: 60 MB would cost as much to drop.
+         * that the error is not late behind it, and nothing more is read.
          */
         private void malformed(String what) {
             if (bodyCommand != null) {
@@ -464,7 +473,7 @@
             dropBody();
             if (!deaf) {
                 deaf = true;
-                broken = true;
+                ahead.shut(); // 60 MB would cost as much to drop as to take
                 Slot last = new Slot(this);
                 slots.add(last);
                 for (Slot slot : slots.toArray(new Slot[0])) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -393,10 +393,14 @@
         }
     }
 
+    /** The client has gone. An attempt whose last byte is not out would begin only later: it never does. */
     void gone(Request r) {
         if (!r.over) {
             over(r);
             tell(m -> m.gone(now(), r.id));
+            for (ServerPool.Attempt a : r.attempts) {
+                later(() -> servers.recall(a));
+            }
             settle(r);
         }
     }
@@ -559,7 +563,7 @@
         ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
         r.attempts.add(a);
         r.out++;
-        boolean gone = r.body != null && r.body.isGone();
+        boolean gone = r.body != null && r.body.isGone() || r.slot.isClosed();
         if (r.over || gone || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
             a.done = true;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -298,6 +298,13 @@
         }
     }
 
+    /** Ends an attempt that the server has not got whole, and so has not begun. */
+    void recall(Attempt a) {
+        if (a.link == null || !a.link.written) {
+            giveUp(a, Gateway.Outcome.NOT_SENT);
+        }
+    }
+
     private void end(Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
         if (a.done) {
             return;
--- a/src/test/java/willowyoke/net/NodeFixture.java
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -49,7 +50,9 @@
         }
 
         @Override public void discoveryFailed(double now) {
-            told.add("discovery failed");
+            if (tellSilence) {
+                told.add("discovery failed");
+            }
         }
 
         @Override public void arrived(double now, Gateway.Request r) {
@@ -61,6 +64,7 @@
                 case "fail" -> act.fail(r.id());
                 case "throw" -> throw new IllegalStateException("on purpose");
                 case "hold" -> { }
+                case "stall" -> stall.acquireUninterruptibly(); // the loop sees nothing meanwhile
                 case "drop" -> { // over before the connection for it is up
                     act.send(r.id(), "s0", 0);
                     act.refuse(r.id(), 0);
@@ -90,6 +94,9 @@
 
         @Override public void gone(double now, long id) {
             told.add("gone " + id);
+            if (id == sendAfter) {
+                act.send(id + 1, "s0", 0);
+            }
         }
 
         @Override public void timer(double now, long token) {
@@ -125,6 +132,10 @@
     int listen;
     int keepAlive = 15_000;
     volatile int failTimers;
+    volatile boolean tellSilence = true;
+    /** When this request's client goes, the next request's turn comes. */
+    volatile long sendAfter;
+    final Semaphore stall = new Semaphore(0);
 
     static String entry(String id, String dial, String health) {
         return "{\"host\":\"" + id + "\",\"dial\":\"" + dial
