--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -115,10 +115,7 @@
             mean = told.aim() / 8; // until seen: an aim leaves room for a queue, a retry and the way
         }
 
-        /**
-         * How long (ms) the client has waited already, as far as its wait tells. First tries of a class name
-         * much the same wait; a later try that names a shorter one has only the rest of the deadline left.
-         */
+        /** How long (ms) the client has waited: one that names less than most has the rest of the deadline. */
         double waited(double patience) {
             int wait = (int) Math.min(WAITS, Math.max(0, patience) / told.deadline() * WAITS);
             return wait < waits.add(wait) - 1 ? told.deadline() - patience : 0;
@@ -618,10 +615,7 @@
         return Ring.mix(c.key + 2 * epoch + 1) >>> 1;
     }
 
-    /**
-     * The re-split: adds the weight W of what is held and not covered yet, and of the last period's arrivals.
-     * The running total tells what all have put before it; the part is what the quota covers at this place.
-     */
+    /** The re-split: adds the weight of what is held and to come; the total tells what all put before it. */
     private void claim(Customer c, double weight) {
         if (c.asking || alone(c) || c.plan.rate() <= 0 || now < c.askAt || !mayCall()) {
             return;
@@ -753,10 +747,7 @@
         }
     }
 
-    /**
-     * A new name starts at 0, whatever the store holds: the old one tells, once more, what others took since
-     * it was last read here. Without that each gateway's own last reading passed for the store's.
-     */
+    /** A new name starts at 0, whatever the store holds: the old one tells what others took meanwhile. */
     private void carryHeard(Customer c, boolean heard, double total) {
         c.asking = false;
         if (heard) {
--- /dev/null
+++ b/src/test/java/willowyoke/SetBench.java
@@ -0,0 +1,154 @@
+package willowyoke;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Not a test: the module alone on a fake clock, before lists of several lengths. Prints CPU a request and a list
+ * change (us) and what the module holds in memory (MB).
+ * {@code java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp target/classes:target/test-classes willowyoke.SetBench}
+ */
+final class SetBench implements Gateway.Actions {
+    private static final int NODES = 8200;
+    /** 1.5 million requests a second over the nodes. */
+    private static final double RATE = 183;
+    private static final double WARM = 20_000;
+    private static final double END = 80_000;
+    private static final int CHANGES = 2000;
+
+    private final PriorityQueue<Double> timers = new PriorityQueue<>();
+    private final PriorityQueue<double[]> ends = new PriorityQueue<>((a, b) -> Double.compare(a[0], b[0]));
+    private final Random random = new Random(1);
+    private double now = 1000;
+    private long sent;
+    private Gateway.Events module;
+
+    public static void main(String[] args) {
+        System.out.println("listed  us/request  us/change  MB  sent/asked");
+        for (int listed : new int[] {20, 200, 2000, 20_000, 200_000}) {
+            if (args.length == 0 || Integer.parseInt(args[0]) >= listed) {
+                new SetBench().run(listed);
+            }
+        }
+    }
+
+    private static Gateway.Server server(int i, double startedAt) {
+        return new Gateway.Server("s-" + Integer.toHexString(0x10000000 + i * 0x9e3779b), i / 40,
+            new String("zone-" + i / 40 % 18), Gateway.State.UP, new String("m2"), startedAt, 1, i);
+    }
+
+    private static double memory() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1e6;
+    }
+
+    private static double cpu() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() / 1e3;
+    }
+
+    private void run(int listed) {
+        Bench b = new Bench();
+        b.nodes = NODES;
+        b.me = 17;
+        b.counter = false;
+        double before = memory();
+        module = new Decide(b.settings(), 1, now, this);
+        for (int part = 0; part < listed; part += 1000) {
+            List<Gateway.Server> list = new ArrayList<>();
+            for (int i = part; i < Math.min(listed, part + 1000); i++) {
+                list.add(server(i, 0));
+            }
+            begin(part == 0);
+            module.servers(now, list, false);
+        }
+        end();
+        double memory = memory() - before;
+        long asked = 0;
+        double from = 0;
+        for (double at = now; now < END; at += -Math.log(1 - random.nextDouble()) / RATE * 1000) {
+            if (asked == 0 && now >= WARM) {
+                from = cpu();
+                sent = 0;
+            }
+            asked += now >= WARM ? 1 : 0;
+            to(at);
+            module.arrived(now, new Gateway.Request((long) (at * 1e3), "read", "big", "c" + random.nextInt(3000),
+                2000, 1, 2, 0, false));
+        }
+        double request = (cpu() - from) / asked;
+        from = cpu();
+        for (int i = 0; i < CHANGES; i++) {
+            now += 1;
+            module.servers(now, List.of(server(random.nextInt(listed), i % 2 == 0 ? 0 : 1)), false);
+        }
+        System.out.printf("%6d  %9.1f  %9.1f  %6.2f  %d/%d%n", listed, request, (cpu() - from) / CHANGES, memory,
+            sent, asked);
+    }
+
+    /** Modules from before lists came in parts have none of these. */
+    private void begin(boolean first) {
+        if (first) {
+            call("listBegins");
+        }
+    }
+
+    private void end() {
+        call("listEnds");
+    }
+
+    private void call(String event) {
+        try {
+            Gateway.Events.class.getMethod(event, double.class).invoke(module, now);
+        } catch (NoSuchMethodException e) {
+            return;
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void to(double time) {
+        while (true) {
+            double timer = timers.isEmpty() ? time + 1 : timers.peek();
+            double end = ends.isEmpty() ? time + 1 : ends.peek()[0];
+            if (Math.min(timer, end) > time) {
+                break;
+            }
+            now = Math.max(now, Math.min(timer, end));
+            if (timer <= end) {
+                timers.poll();
+                module.timer(now, 0);
+            } else {
+                double[] a = ends.poll();
+                module.ended(now, (long) a[1], 0, Gateway.Outcome.OK, a[2], true, 0, new double[0]);
+            }
+        }
+        now = time;
+    }
+
+    @Override public void send(long id, String server, double until) {
+        double took = 10 + 40 * random.nextDouble();
+        sent++;
+        ends.add(new double[] {now + took, id, took});
+    }
+
+    @Override public void timer(double delay, long token) {
+        timers.add(now + delay);
+    }
+
+    @Override public void cancel(long id, int attempt) { }
+
+    @Override public void refuse(long id, double retryAfter) { }
+
+    @Override public void fail(long id) { }
+
+    @Override public void probe(String server) { }
+
+    @Override public void count(long name, double amount, double keepFor) { }
+
+    @Override public void subscribe() { }
+}
