--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -115,7 +115,7 @@
             mean = told.aim() / 8; // until seen: an aim leaves room for a queue, a retry and the way
         }
 
-        /** How long (ms) the client has waited: one that names less than most has the rest of the deadline. */
+        /** How long (ms) the client has waited: one that names less than most has the rest of its time. */
         double waited(double patience) {
             int wait = (int) Math.min(WAITS, Math.max(0, patience) / told.deadline() * WAITS);
             return wait < waits.add(wait) - 1 ? told.deadline() - patience : 0;
@@ -942,7 +942,7 @@
         return r.type.told.staysInGroup() ? orOutside(r, best) : best;
     }
 
-    /** A repeat that must stay in a zone or a cell, of which the set has no other to give, takes one outside. */
+    /** A repeat that must stay in a zone or cell, of which the set has no other, takes one outside. */
     private Host orOutside(Req r, Host found) {
         Optional<Attempt> ran = r.attempts.stream().filter(Attempt::mayHaveRun).findFirst();
         if (ran.isEmpty() || found != null && r.attempts.stream().noneMatch(a -> a.host == found)) {
--- a/src/main/java/willowyoke/WorkingSet.java
+++ b/src/main/java/willowyoke/WorkingSet.java
@@ -70,7 +70,8 @@
             covered = 1;
             return;
         }
-        if (usable >= wanted && covered > most && (covered > SHRINK * most || now >= shrunkAt + SHRINK_EVERY)) {
+        boolean far = covered > SHRINK * most;
+        if (usable >= wanted && covered > most && (far || now >= shrunkAt + SHRINK_EVERY)) {
             shrunkAt = now;
             covered = Math.max(most, Math.min(SHRINK * most, covered - 1 - covered / SHRINK));
         }
--- a/src/test/java/willowyoke/SetBench.java
+++ b/src/test/java/willowyoke/SetBench.java
@@ -7,9 +7,10 @@
 import java.util.Random;
 
 /**
- * Not a test: the module alone on a fake clock, before lists of several lengths. Prints CPU a request and a list
- * change (us) and what the module holds in memory (MB).
- * {@code java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp target/classes:target/test-classes willowyoke.SetBench}
+ * Not a test: the module alone on a fake clock, before lists of several lengths. Prints CPU a request and a
+ * list change (us) and what the module holds in memory (MB).
+ * {@code java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp target/classes:target/test-classes
+ * willowyoke.SetBench}
  */
 final class SetBench implements Gateway.Actions {
     private static final int NODES = 8200;
@@ -77,8 +78,8 @@
             }
             asked += now >= WARM ? 1 : 0;
             to(at);
-            module.arrived(now, new Gateway.Request((long) (at * 1e3), "read", "big", "c" + random.nextInt(3000),
-                2000, 1, 2, 0, false));
+            module.arrived(now, new Gateway.Request((long) (at * 1e3), "read", "big",
+                "c" + random.nextInt(3000), 2000, 1, 2, 0, false));
         }
         double request = (cpu() - from) / asked;
         from = cpu();
@@ -86,8 +87,8 @@
             now += 1;
             module.servers(now, List.of(server(random.nextInt(listed), i % 2 == 0 ? 0 : 1)), false);
         }
-        System.out.printf("%6d  %9.1f  %9.1f  %6.2f  %d/%d%n", listed, request, (cpu() - from) / CHANGES, memory,
-            sent, asked);
+        System.out.printf("%6d  %9.1f  %9.1f  %6.2f  %d/%d%n", listed, request, (cpu() - from) / CHANGES,
+            memory, sent, asked);
     }
 
     /** Modules from before lists came in parts have none of these. */
--- a/src/test/java/willowyoke/WorkingSetTest.java
+++ b/src/test/java/willowyoke/WorkingSetTest.java
@@ -236,7 +236,7 @@
             long before = b.count("send");
             load(b, 100, 200);
             long sent = b.count("send") - before;
-            assertTrue(started == 0 ? sent >= 95 : sent <= 60 && sent >= 1, "started " + started + ": " + sent);
+            assertTrue(started == 0 ? sent >= 95 : sent <= 60 && sent >= 1, started + ": " + sent);
         }
     }
 
