Read lists of servers as a stream, and hand long ones over in parts

Cause: a list's text was held whole, up to 8 MB, then as a tree: 200,000 entries (some 25 MB) were refused for ever, and the list known from before stood in memory twice more with the configuration's text. Change: ListReader takes the text as it comes by the library's non-blocking parser and holds one entry of it, 64 KB at most; up to 1,000 entries go over at once, more in parts between listBegins and listEnds, and a list torn or too long drops nothing. The bound is in entries, from limits.memory_mb (800 bytes a server: 251,000 at 192 MB); a list past it is told once, served on from, and its watch goes on. Discovery reads 16 KB a turn of the loop, so that requests come between. The list known from before is read from the file when it is wanted. A signal that moves discovery before the start is kept until there is a module (the answer was lost, seen in ReloadTest), and an entry with no host is spoilt, not a server with no name. Tests: pieces of 1 byte to all, nested unknown values, whole and seq behind the entries, lists one behind another; two long lists at once, torn ones, bounds.

--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -15,16 +14,24 @@
 
 /**
  * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
- * where it is told none. The folder is the one place where it may write.
+ * where it is told none. The folder is the one place where it may write; servers is the length of the longest
+ * list that its memory bears, see {@link ListReader#most}.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-    InetSocketAddress counter, InetSocketAddress control, Path folder, long seed, int sockets, Json known,
-    Gateway.Settings settings, double keepAlive, double connectTimeout) {
+    InetSocketAddress counter, InetSocketAddress control, Path folder, long seed, int sockets, Known known,
+    Gateway.Settings settings, double keepAlive, double connectTimeout, int servers) {
 
     /** Where the settings say nothing of connections. */
     private static final double KEEP_ALIVE = 15_000;
     private static final double CONNECT_TIMEOUT = 250;
     private static final int SOCKETS = 1024;
+    /** MB, where no limit is told: what the deploy file's flags are for. */
+    private static final double MEMORY = 192;
+
+    /** The list known from before: read when it is wanted, as it may be too long to hold its text. */
+    interface Known {
+        void read(ListReader to) throws IOException;
+    }
 
     /** Reads the file that EDGE_CONFIG names; the other variables win over it. */
     public static Config fromEnvironment(Map<String, String> env) throws IOException {
@@ -32,7 +39,9 @@
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException("EDGE_CONFIG is not set");
         }
-        return of(Json.read(Files.readAllBytes(Path.of(file))), env);
+        Path path = Path.of(file);
+        Json root = Json.without("known", path);
+        return of(root, env, to -> Json.member("known", path, to::read));
     }
 
     /** The file as it is now, for a running edge node: the variables are those of its start. */
@@ -43,6 +52,10 @@
     }
 
     static Config of(Json root, Map<String, String> env) {
+        return of(root, env, to -> to.read(root.get("known")));
+    }
+
+    private static Config of(Json root, Map<String, String> env, Known known) {
         Map<String, String> keys = new HashMap<>();
         flatten("", root.get("settings"), keys);
         double idle = SettingsReader.number(keys, "limits.keepalive");
@@ -56,8 +69,9 @@
             Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))),
             seed(root.get("seed").text("0")),
             (int) root.get("limits").get("sockets").number(SOCKETS),
-            root.get("known").isNull() ? null : root.get("known"), SettingsReader.read(keys),
-            idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
+            root.get("known").isNull() ? null : known, SettingsReader.read(keys),
+            idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT,
+            ListReader.most(root.get("limits").get("memory_mb").number(MEMORY)));
     }
 
     private static String text(Map<String, String> env, String variable, Json root, String key) {
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JacksonException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -11,8 +10,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,8 +22,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.json.JsonObjectDecoder;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -90,8 +87,8 @@
     private static final double BACKOFF = 10;
     /** What the agent has counts as told: away for longer, a drain would be heard of past its grace. */
     private static final double BACKOFF_MOST = 80;
-    /** No list is as long as this (bytes); one that grows past it ends the connection. */
-    private static final int LONGEST_LIST = 8 << 20;
+    /** A long list is read in pieces of this (bytes), some 0.3 ms each: requests come between them. */
+    private static final int PIECE = 16 << 10;
 
     /** What the list's reader has of its node: clock (ms) and timers of one thread, and who is to be told. */
     interface Host {
@@ -99,13 +96,23 @@
 
         Future<?> after(double delay, Runnable what);
 
+        /** Changes or a part of a list, or a whole list of few servers. */
         void listed(List<Gateway.Server> list, boolean whole);
 
+        /** From here on come parts of a whole list; one that is begun and not ended drops nothing. */
+        void listBegins();
+
+        /** What the parts since have not named is gone. */
+        void listEnds();
+
         void discoveryFailed();
 
         void flush();
 
         void log(String where, Throwable what);
+
+        /** Once, for the operators. */
+        void say(String what);
     }
 
     /** Opens connections; one that does not come up fails after CONNECT. */
@@ -119,6 +126,7 @@
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     /** Watches at addresses that a new configuration has left: they count until the new one has told. */
     private final List<Channel> left = new ArrayList<>();
+    private final int most;
     private InetSocketAddress address;
     private Channel channel;
     private Call call;
@@ -127,17 +135,25 @@
     private double patience = ANSWER_WITHIN;
     private double backoff = BACKOFF;
     private boolean connecting;
+    /** Whether there is a module to be told: a signal may come before, and the module itself asks first. */
+    private boolean started;
+    private boolean moved;
+    /** Whose list is being handed over in parts: another one that begins takes its place. */
+    private Told parts;
+    private boolean tooLong;
 
     Discovery(Host node, Connector connector, Config config) {
         this.node = node;
         this.connector = connector;
         address = config.discovery();
         random = new SplittableRandom(config.seed());
+        most = config.servers();
     }
 
     static Connector sockets(EventLoopGroup group) {
         Bootstrap bootstrap = new Bootstrap().group(group).channel(Transport.socket())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT).option(ChannelOption.RECVBUF_ALLOCATOR,
+                new FixedRecvByteBufAllocator(PIECE).maxMessagesPerRead(1));
         return (to, handler) -> bootstrap.clone().handler(handler).connect(to);
     }
 
@@ -147,9 +163,14 @@
     }
 
     /** The list that was known at the start may be old: it serves until discovery answers. */
-    void start(Json known) {
+    void start(Config.Known known) {
+        started = true;
         if (known != null) {
-            take(known, true);
+            try {
+                known.read(new ListReader(new Told(moved ? null : address), most));
+            } catch (IOException | RuntimeException e) {
+                node.log("list known from before", e); // discovery has another
+            }
         }
         connect();
         check();
@@ -168,6 +189,7 @@
             return;
         }
         address = to;
+        moved = true;
         seq = -1;
         backoff = BACKOFF;
         patience = ANSWER_WITHIN;
@@ -187,7 +209,7 @@
     }
 
     private void connect() {
-        if (connecting || channel != null) {
+        if (!started || connecting || channel != null) {
             return;
         }
         connecting = true;
@@ -195,7 +217,7 @@
         connector.connect(to, new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel c) {
                 Call call = new Call(to);
-                c.pipeline().addLast(new HttpClientCodec(), new Body(call), call.lists, call);
+                c.pipeline().addLast(new HttpClientCodec(), call);
             }
         }).addListener(f -> {
             if (!f.isSuccess()) { // with no descriptor left it is told on a thread of the library's own
@@ -218,90 +240,58 @@
         node.flush();
     }
 
-    /** Takes a list or a change of it; false where it cannot be understood. */
-    private boolean take(Json told, boolean current) {
-        if (!told.get("hosts").isArray()) {
-            return false;
-        }
-        List<Gateway.Server> servers = new ArrayList<>();
-        for (Json h : told.get("hosts").elements()) {
-            try {
-                servers.add(server(h));
-            } catch (IllegalArgumentException e) {
-                node.log("discovery", e); // the others are of use
-            }
-        }
-        boolean whole = told.get("whole").isTrue();
-        seq = current ? (long) told.get("seq").number(seq) : seq;
-        node.listed(servers, whole);
-        if (current && whole) {
-            left.forEach(Channel::close);
-            left.clear();
-        }
-        return true;
-    }
+    /** What lists of one address become. */
+    private final class Told implements ListReader.Taker {
+        private final InetSocketAddress at;
 
-    private static Gateway.Server server(Json h) {
-        Gateway.State state = switch (h.get("health").text("")) {
-            case "active" -> Gateway.State.UP;
-            case "left" -> Gateway.State.GONE;
-            default -> Gateway.State.DRAINING; // leaving, or a word to come: nothing new is the safe reading
-        };
-        String dial = h.get("dial").text("");
-        return new Gateway.Server(h.get("host").text(""), (int) h.get("block").number(0),
-            h.get("site").text(""), state, h.get("class").text(""), h.get("born_ms").number(0),
-            h.get("share").number(1),
-            state == Gateway.State.GONE && dial.isEmpty() ? 0 : Config.dial(dial));
-    }
+        Told(InetSocketAddress at) {
+            this.at = at;
+        }
 
-    /** What the body of an answer holds: lists, which may be indented, with empty lines between them. */
-    private static final class Lists extends JsonObjectDecoder {
-        Lists() {
-            super(LONGEST_LIST);
+        @Override public void begins() {
+            parts = this;
+            node.listBegins();
         }
 
-        /** Bytes that have come of a list that is not whole yet. */
-        int pending() {
-            return actualReadableBytes();
+        @Override public void take(List<Gateway.Server> servers, boolean whole) {
+            node.listed(servers, whole);
         }
-    }
 
-    /** The head of an answer, then its body as bytes, then its end. */
-    private static final class Body extends SimpleChannelInboundHandler<HttpObject> {
-        private final Call call;
-        private boolean good;
+        @Override public void tooLong(int bound) {
+            if (!tooLong) {
+                node.say("discovery: the list names more than " + bound + " servers, the most that"
+                    + " limits.memory_mb bears; the others are left out and none is dropped by it");
+            }
+            tooLong = true;
+        }
 
-        Body(Call call) {
-            this.call = call;
+        @Override public void spoilt(Exception what) {
+            node.log("discovery", what);
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) {
-            if (msg instanceof HttpResponse response) {
-                good = response.status().code() == HttpResponseStatus.OK.code();
-                if (!good) {
-                    ctx.fireChannelRead(End.REFUSED); // whatever else comes, and if it never ends
-                }
-            }
-            if (msg instanceof HttpContent content && good && content.content().isReadable()) {
-                int size = content.content().readableBytes();
-                long before = call.whole;
-                int pending = call.lists.pending();
-                ctx.fireChannelRead(content.content().retain());
-                call.heard(size, call.whole == before, pending == 0);
+        @Override public void ends(double version, boolean whole, boolean drops) {
+            if (drops && parts == this) {
+                node.listEnds();
             }
-            if (msg instanceof LastHttpContent && good) {
-                ctx.fireChannelRead(End.WHOLE);
+            if (at == address) {
+                seq = Double.isNaN(version) ? seq : (long) version;
+                if (whole) {
+                    left.forEach(Channel::close);
+                    left.clear();
+                }
             }
         }
     }
 
-    private enum End { WHOLE, REFUSED }
-
-    private final class Call extends ChannelInboundHandlerAdapter {
+    /** A connection with the call on it: heads of answers, and their bodies in pieces. */
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress at;
-        private final Lists lists = new Lists();
+        private final ListReader lists;
         private boolean watching;
-        private long whole;
+        /** Refused or spoilt: what still comes is of no use. */
+        private boolean over;
+        /** Bytes of text in all. */
+        private long came;
         private boolean timed;
         /** A watch that has told: from here on it may be silent. */
         private boolean standing;
@@ -314,6 +304,7 @@
 
         Call(InetSocketAddress at) {
             this.at = at;
+            lists = new ListReader(new Told(at), most);
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
@@ -346,42 +337,49 @@
 
         /** By when (ms) something has to come. */
         double due() {
-            return standing && lists.pending() == 0 ? heardAt + silence : begunAt + allowed + bytes / PACE;
+            return standing && !lists.pending() ? heardAt + silence : begunAt + allowed + bytes / PACE;
         }
 
-        /** Text has come; an empty line of a watch tells that nothing has changed. */
-        private void heard(int size, boolean noList, boolean between) {
-            heardAt = node.now();
-            silence = SILENT + SILENT_SPREAD * random.nextDouble();
-            if (!noList || between && lists.pending() > 0) {
-                begin();
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
+            if (msg instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
+                refused(ctx); // whatever else comes, and if it never ends
             }
-            bytes += size;
-            if (noList && watching && lists.pending() == 0) {
-                works();
+            if (!over && msg instanceof HttpContent content && content.content().isReadable()) {
+                text(content.content());
+            }
+            if (!over && msg instanceof LastHttpContent) {
+                if (!watching && seq >= 0 && !lists.pending()) {
+                    ask(ctx); // the list is here; the watch goes on from it
+                } else {
+                    ctx.close();
+                }
             }
         }
 
-        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) throws IOException {
-            if (msg instanceof ByteBuf text) {
-                try {
-                    list(ByteBufUtil.getBytes(text));
-                } finally {
-                    ReferenceCountUtil.release(text);
-                }
-            } else if (msg == End.WHOLE && !watching && seq >= 0) {
-                ask(ctx); // the list is here; the watch goes on from it
-            } else {
-                if (msg == End.REFUSED && at == address) {
-                    seq = -1; // no longer known there: asked again, it would be refused for ever
-                }
-                ctx.close();
+        private void refused(ChannelHandlerContext ctx) {
+            over = true;
+            if (at == address) {
+                seq = -1; // no longer known there: asked again, it would be refused for ever
             }
+            ctx.close();
         }
 
-        private void list(byte[] text) throws IOException {
-            whole++;
-            if (take(Json.read(text), at == address)) {
+        /** An empty line of a watch tells that nothing has changed. */
+        private void text(ByteBuf text) throws IOException {
+            int size = text.readableBytes();
+            boolean between = !lists.pending();
+            long objects = lists.objects();
+            long told = lists.lists();
+            lists.read(text);
+            came += size;
+            heardAt = node.now();
+            silence = SILENT + SILENT_SPREAD * random.nextDouble();
+            boolean noObject = lists.objects() == objects;
+            if (!noObject || between && lists.pending()) {
+                begin();
+            }
+            bytes += lists.tooLong() ? 0 : size; // more of a list without an end earns it no time
+            if (lists.lists() > told || noObject && watching && !lists.pending()) {
                 works();
             }
         }
@@ -398,26 +396,27 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (lists.pending() > 0 && !timed) {
-                halfAList(ctx, whole, lists.pending());
+            if (lists.pending() && !timed) {
+                halfAList(ctx, came);
             }
             node.flush();
         }
 
         /** Waits for more of this list; one that grows is waited for again. */
-        private void halfAList(ChannelHandlerContext ctx, long before, int size) {
+        private void halfAList(ChannelHandlerContext ctx, long before) {
             timed = true;
             node.after(HALF_A_LIST * allowed / ANSWER_WITHIN, () -> {
                 timed = false;
-                if (whole == before && lists.pending() == size) {
+                if (lists.pending() && came == before) {
                     ctx.close();
-                } else if (lists.pending() > 0) {
-                    halfAList(ctx, whole, lists.pending());
+                } else if (lists.pending()) {
+                    halfAList(ctx, came);
                 }
             });
         }
 
-        @Override public void channelInactive(ChannelHandlerContext ctx) {
+        @Override public void channelInactive(ChannelHandlerContext ctx) throws IOException {
+            lists.close();
             left.remove(ctx.channel());
             if (ctx.channel() == channel) {
                 channel = null;
@@ -426,6 +425,7 @@
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            over = true;
             if (!(cause instanceof IOException) || cause instanceof JacksonException) {
                 node.log("discovery", cause);
             }
--- a/src/main/java/willowyoke/net/Json.java
+++ b/src/main/java/willowyoke/net/Json.java
@@ -4,6 +4,9 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,6 +34,48 @@
         return whole(FACTORY.createParser(text));
     }
 
+    /** What follows a parser's place in a text. */
+    interface Reader {
+        void read(JsonParser at) throws IOException;
+    }
+
+    /** An object without the value of one member, which may be too large to hold: that is an empty one. */
+    static Json without(String member, Path file) throws IOException {
+        Map<String, Json> all = new LinkedHashMap<>();
+        each(file, in -> {
+            String name = in.currentName();
+            boolean left = in.nextToken() == JsonToken.START_OBJECT && name.equals(member);
+            all.put(name, left ? new Json(Map.of()) : of(in, 1));
+            if (left) {
+                in.skipChildren();
+            }
+        });
+        return new Json(all);
+    }
+
+    /** The value of one member, as its text is read. */
+    static void member(String member, Path file, Reader to) throws IOException {
+        each(file, in -> {
+            boolean wanted = in.currentName().equals(member);
+            in.nextToken();
+            if (wanted) {
+                to.read(in);
+            } else {
+                in.skipChildren();
+            }
+        });
+    }
+
+    private static void each(Path file, Reader member) throws IOException {
+        try (InputStream text = Files.newInputStream(file); JsonParser in = FACTORY.createParser(text)) {
+            if (in.nextToken() == JsonToken.START_OBJECT) {
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    member.read(in);
+                }
+            }
+        }
+    }
+
     private static Json whole(JsonParser in) throws IOException {
         try (in) {
             return in.nextToken() == null ? NONE : of(in, 0);
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -115,6 +115,7 @@
     private int openRequests;
     private long held;
     private int logged;
+    private List<Gateway.Server> begun;
     private volatile SocketAddress address;
     private volatile SocketAddress control;
     /** Set at SIGTERM: by then (ms) all is answered, as the process may be killed right after. */
@@ -510,10 +511,27 @@
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
     @Override public void listed(List<Gateway.Server> list, boolean whole) {
+        if (begun != null) {
+            begun.addAll(list);
+        }
         servers.listed(list, whole);
         tell(m -> m.servers(now(), list, whole));
     }
 
+    @Override public void listBegins() {
+        begun = new ArrayList<>();
+    }
+
+    @Override public void listEnds() {
+        List<Gateway.Server> all = begun;
+        begun = null;
+        listed(all, true);
+    }
+
+    @Override public void say(String what) {
+        System.err.println(what);
+    }
+
     @Override public void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
--- /dev/null
+++ b/src/test/java/willowyoke/ListMemory.java
@@ -0,0 +1,127 @@
+package willowyoke;
+
+import java.io.BufferedOutputStream;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Measures one edge node, with the deploy file's flags, that is told a list of so many servers: known from
+ * before, if asked for, then whole by discovery, three times. Not a test: {@code ListMemory [SERVERS] [known]}
+ * from the root. A line of CSV a step: wall and CPU (ms) since the step before, resident memory and peak (MB).
+ */
+final class ListMemory {
+    private static final int TICK = 10;
+    private static long cpuBefore;
+    private static long wallBefore = System.nanoTime();
+
+    private ListMemory() { }
+
+    public static void main(String[] args) throws Exception {
+        int servers = args.length > 0 ? Integer.parseInt(args[0]) : 200_000;
+        Path folder = Files.createTempDirectory("list-memory");
+        try (ServerSocket agent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            ServerSocket counter = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Path config = folder.resolve("config.json");
+            try (PrintStream out = new PrintStream(new BufferedOutputStream(Files.newOutputStream(config)))) {
+                out.printf("""
+                    {"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","counter":"127.0.0.1:%d",
+                     "limits":{"memory_mb":192,"sockets":1024},
+                     "settings":{"rank":0,"group_size":8200,"tick":4,"my_zone":"z0",
+                      "family_info":{"shared_counter":true},"request_classes":[{"name":"r",
+                       "effect":"read_like","aim":600,"hard_limit":2000}],
+                      "tariffs":[{"name":"p","per_second":8,"depth":8}]},"known":""", agent.getLocalPort(),
+                    counter.getLocalPort());
+                if (args.length > 1) {
+                    list(out, servers, 1);
+                } else {
+                    out.print("null");
+                }
+                out.print("}");
+            }
+            Process node = start(config, folder);
+            try {
+                System.out.println("servers,step,wall_ms,cpu_ms,rss_mb,peak_mb");
+                answer(agent, node, servers);
+            } finally {
+                node.destroy();
+                node.waitFor();
+            }
+        }
+    }
+
+    private static void list(PrintStream out, int servers, int seq) {
+        out.print("{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[");
+        for (int i = 0; i < servers; i++) {
+            out.print((i > 0 ? ",\n" : "") + "{\"host\":\"s-" + Integer.toHexString(0x5be2a07c + i)
+                + "\",\"dial\":\"127." + (1 + (i >> 16)) + "." + (i >> 8 & 255) + "." + (i & 255)
+                + ":6379\",\"site\":\"z" + i % 18 + "\",\"class\":\"m" + i % 5 + "\",\"block\":" + i / 40
+                + ",\"health\":\"active\",\"share\":1.0,\"born_ms\":0}");
+        }
+        out.print("]}\n");
+        out.flush();
+    }
+
+    private static Process start(Path config, Path folder) throws IOException {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + File.separator
+            + "bin" + File.separator + "java"));
+        for (String line : Files.readAllLines(Path.of("deploy/balancer.toml"))) {
+            for (String word : line.startsWith("run = ") ? line.split(" ") : new String[0]) {
+                if (word.startsWith("-X") || word.startsWith("-Dio.netty") && !word.contains("$")) {
+                    command.add(word);
+                }
+            }
+        }
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "willowyoke.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        return builder.start();
+    }
+
+    /** A call behind each list shows that the one before has been taken. */
+    private static void answer(ServerSocket agent, Process node, int servers) throws IOException {
+        int seq = 2;
+        for (int round = 0; round < 3; round++) {
+            try (Socket socket = agent.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII));
+                in.readLine();
+                step(node, servers, round == 0 ? "asks" : "asks again");
+                OutputStream raw = new BufferedOutputStream(socket.getOutputStream(), 1 << 16);
+                PrintStream out = new PrintStream(raw);
+                out.print("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"); // its end is that of the list
+                list(out, servers, seq++);
+                step(node, servers, "list written");
+            }
+        }
+    }
+
+    private static void step(Process node, int servers, String what) throws IOException {
+        Path of = Path.of("/proc/" + node.pid());
+        String stat = Files.readString(of.resolve("stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        long cpu = TICK * (Long.parseLong(fields[11]) + Long.parseLong(fields[12]));
+        long wall = System.nanoTime();
+        System.out.println(servers + "," + what + "," + (wall - wallBefore) / 1_000_000 + ","
+            + (cpu - cpuBefore) + "," + status(of, "VmRSS:") + "," + status(of, "VmHWM:"));
+        cpuBefore = cpu;
+        wallBefore = wall;
+    }
+
+    private static long status(Path of, String name) throws IOException {
+        return Files.readAllLines(of.resolve("status")).stream().filter(l -> l.startsWith(name))
+            .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")) / 1024).sum();
+    }
+}
--- a/src/test/java/willowyoke/net/DiscoveryTest.java
+++ b/src/test/java/willowyoke/net/DiscoveryTest.java
@@ -1,5 +1,7 @@
 package willowyoke.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -12,12 +14,14 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import willowyoke.Gateway;
@@ -56,12 +60,16 @@
         private boolean news;
         private boolean silent;
         private double heard = Double.MAX_VALUE;
+        private final List<String> told = new ArrayList<>();
+        /** The entries of the list, or null for one. */
+        private String hosts;
 
         World(boolean asked) {
             this.asked = asked;
             discovery = new Discovery(this, this, Config.of(json("""
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","name":"n","seed":"5","settings":{"rank":0,
-                 "group_size":1,"request_classes":[{"name":"r","effect":"read_like","aim":6,"hard_limit":9}],
+                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","name":"n","seed":"5",
+                 "limits":{"memory_mb":32},"settings":{"rank":0,"group_size":1,
+                 "request_classes":[{"name":"r","effect":"read_like","aim":6,"hard_limit":9}],
                  "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""), Map.of()));
         }
 
@@ -139,7 +147,7 @@
 
         private void answer(EmbeddedChannel c, Way then, boolean watch) {
             String host = NodeFixture.entry(news ? "news" : "s", "127.0.0.1:9", "active");
-            String list = NodeFixture.list(41, !watch, host) + "\n";
+            String list = NodeFixture.list(41, !watch, hosts == null ? host : hosts) + "\n";
             switch (then == Way.NO_END && watch ? Way.TELLS : then) {
                 case TELLS -> {
                     write(c, HEAD + chunk(list) + (watch ? "" : "0\r\n\r\n"));
@@ -157,7 +165,7 @@
                     write(c, HEAD + chunk("{\"seq\":"));
                     keep(c, 50, chunk("1"));
                 }
-                case HALF -> write(c, HEAD + chunk(list.substring(0, 40)));
+                case HALF -> write(c, HEAD + chunk(list.substring(0, list.length() / 4 * 3)));
                 case REFUSAL -> write(c, "HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n");
                 case REFUSAL_OPEN -> {
                     write(c, "HTTP/1.1 503 Down\r\ncontent-length: 999999\r\n\r\n");
@@ -183,6 +191,18 @@
             }
         }
 
+        @Override public void listBegins() {
+            told.add("begins");
+        }
+
+        @Override public void listEnds() {
+            told.add("ends");
+        }
+
+        @Override public void say(String what) {
+            told.add(what.substring(0, "discovery: the list names more than 4".length()));
+        }
+
         /** Where lists are asked for the module asks again too, after pauses of up to 12 s. */
         @Override public void discoveryFailed() {
             if (asked) {
@@ -239,4 +259,58 @@
         assertTrue(worst <= TOLD, state + ": " + worst);
         assertTrue(worst > 3000, "the states are gone through: " + worst);
     }
+
+    private static String hosts(int number) {
+        return String.join(",", java.util.stream.IntStream.range(0, number)
+            .mapToObj(i -> NodeFixture.entry("h" + i, "127.0.0.1:9", "active")).toList());
+    }
+
+    /** Only a list that has come to its end tells what is gone. */
+    @Test void aLongListThatBreaksOffDropsNothingAndIsAskedForAnew() {
+        World w = new World(false);
+        w.hosts = hosts(2500);
+        w.way = Way.HALF;
+        w.discovery.start(null);
+        w.to(70);
+        assertEquals(List.of("begins"), w.told);
+        w.way = Way.TELLS;
+        w.to(200);
+        assertEquals(List.of("begins", "begins", "ends", "begins"), w.told, "and many changes drop nothing");
+    }
+
+    /** Ended by the old place, the new one's list would drop what it has yet to name. */
+    @Test void ofTwoLongListsTheLastBegunCounts() {
+        World w = new World(false);
+        String list = NodeFixture.list(41, true, hosts(2500));
+        int half = list.length() / 2;
+        w.way = Way.NO_ANSWER;
+        w.discovery.start(null);
+        w.to(1);
+        EmbeddedChannel old = w.open.keySet().iterator().next();
+        World.write(old, HEAD + World.chunk(list.substring(0, half)));
+        w.discovery.move(new InetSocketAddress("127.0.0.1", 2));
+        w.settle();
+        EmbeddedChannel next = List.copyOf(w.open.keySet()).get(1);
+        World.write(next, HEAD + World.chunk(list.substring(0, half)));
+        World.write(old, World.chunk(list.substring(half)));
+        assertEquals(List.of("begins", "begins"), w.told);
+        World.write(next, World.chunk(list.substring(half)));
+        assertEquals(List.of("begins", "begins", "ends"), w.told);
+    }
+
+    /** Told once; the watch goes on from it, and what it names behind is heard. */
+    @Test void aListPastTheBoundOfMemoryIsToldOnceAndServedOnFrom() {
+        World w = new World(false);
+        w.hosts = hosts(42_000);
+        w.discovery.start(null);
+        w.to(100);
+        w.hosts = null;
+        w.news = true;
+        List.copyOf(w.open.keySet()).forEach(EmbeddedChannel::close);
+        w.to(400);
+        assertEquals(List.of("begins", "discovery: the list names more than 4"), w.told.subList(0, 2));
+        assertEquals(1, w.told.stream().filter(t -> t.startsWith("discovery")).count(), w.told.toString());
+        assertFalse(w.told.contains("ends"));
+        assertTrue(w.heard < 400, "the watch tells on");
+    }
 }
--- /dev/null
+++ b/src/test/java/willowyoke/net/ListReaderTest.java
@@ -0,0 +1,159 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import willowyoke.Gateway;
+
+/** Lists in every form that discovery may give them, cut anywhere, of any length. */
+class ListReaderTest implements ListReader.Taker {
+    private static final int MOST = 5000;
+    private final List<String> told = new ArrayList<>();
+    private ListReader reader = new ListReader(this, MOST);
+
+    @Override public void begins() {
+        told.add("begins");
+    }
+
+    @Override public void take(List<Gateway.Server> servers, boolean whole) {
+        if (servers.size() > 5) {
+            told.add((whole ? "whole " : "changes ") + servers.size());
+            return;
+        }
+        StringBuilder text = new StringBuilder(whole ? "whole" : "changes");
+        servers.forEach(s -> text.append(' ').append(s.id()).append('=').append(s.state()).append(s.cell())
+            .append(s.zone()).append(s.kind()).append((long) s.startedAt()).append('/').append(s.weight())
+            .append('@').append(s.dial()));
+        told.add(text.toString());
+    }
+
+    @Override public void ends(double seq, boolean whole, boolean drops) {
+        told.add("ends " + seq + (whole ? " whole" : "") + (drops ? " drops" : ""));
+    }
+
+    @Override public void spoilt(Exception what) {
+        told.add("spoilt");
+    }
+
+    @Override public void tooLong(int most) {
+        told.add("longer than " + most);
+    }
+
+    private void read(String text, int piece) throws IOException {
+        byte[] all = text.getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < all.length; i += piece) {
+            reader.read(Unpooled.wrappedBuffer(all, i, Math.min(piece, all.length - i)));
+        }
+    }
+
+    private static String host(int i) {
+        return NodeFixture.entry("h" + i, "127.0.0.1:9", "active");
+    }
+
+    private static String hosts(int number) {
+        return String.join(",", IntStream.range(0, number).mapToObj(ListReaderTest::host).toList());
+    }
+
+    @Test void allFormsAreOneListHoweverTheyAreCut() throws Exception {
+        String entry = "{'zone':{'host':'x','a':[1,{'dial':[]}]},'host':'h0','dial':'1.2.3.4:5','site':'a',"
+            + "'class':'m','block':3,'health':'%s','share':0.5,'born_ms':7,'host2':null}";
+        long dial = 0x01020304_0005L;
+        String up = " h0=UP3am7/0.5@" + dial;
+        String text = ("\r\n {'hosts':[" + entry.formatted("active") + ",5,null,[[]],{'host':'h1'},"
+            + entry.formatted("left") + "],\n  'more':{'hosts':[{}],'seq':9},'seq':42,'whole':true}{'seq':43,"
+            + "'hosts' : [ ] }\n\n{'seq':5}[{'hosts':[]}]\n{'hosts':{},'seq':6}"
+            + "{'whole':true,'hosts':[{'host':'h\u00e9','dial':'','health':'left'}]}\n").replace('\'', '"');
+        List<String> expected = List.of("spoilt", "whole" + up + " h0=GONE3am7/0.5@" + dial,
+            "ends 42.0 whole", "changes", "ends 43.0", "whole h\u00e9=GONE00/1.0@0", "ends NaN whole");
+        for (int piece : new int[] {1, 2, 3, 7, 64, 10_000}) {
+            told.clear();
+            reader = new ListReader(this, MOST);
+            read(text, piece);
+            assertEquals(expected, told, "in pieces of " + piece);
+            assertFalse(reader.pending());
+            assertEquals(6, reader.objects());
+            assertEquals(3, reader.lists());
+        }
+    }
+
+    @Test void aFewGoOverAtOnceAndManyInParts() throws Exception {
+        read("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts(1000) + "]}", 8192);
+        read("{\"hosts\":[" + hosts(2500) + "],\"whole\":true,\"seq\":2}", 8192);
+        read("{\"hosts\":[" + hosts(1001) + "],\"whole\":false,\"seq\":3}", 8192);
+        assertEquals(List.of("whole 1000", "ends 1.0 whole", "begins", "changes 1000", "changes 1000",
+            "changes 500", "ends 2.0 whole drops", "begins", "changes 1000",
+            "changes h1000=UP3am0/1.0@" + (0x7f000001_0009L), "ends 3.0"), told);
+    }
+
+    @Test void aTornListDropsNothing() throws Exception {
+        read("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts(2000) + ",{\"ho", 8192);
+        assertTrue(reader.pending());
+        assertEquals(List.of("begins", "changes 1000"), told);
+    }
+
+    @Test void aListPastTheBoundIsToldAndDropsNothing() throws Exception {
+        read("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts(MOST + 1500) + "]}", 8192);
+        assertTrue(reader.tooLong());
+        assertEquals(List.of("longer than " + MOST, "ends 1.0 whole"), told.stream()
+            .filter(t -> !t.startsWith("changes") && !t.equals("begins")).toList());
+        assertEquals(MOST, told.stream().filter(t -> t.startsWith("changes "))
+            .mapToInt(t -> Integer.parseInt(t.substring(8))).sum());
+        read("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts(6) + "]}", 8192);
+        assertFalse(reader.tooLong());
+        reader = new ListReader(this, 6); // one bound under what goes over at once
+        told.clear();
+        read("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts(7) + "]}", 8192);
+        assertEquals(List.of("longer than 6", "changes 6", "ends 1.0 whole"), told);
+    }
+
+    @Test void anEntryOfMegabytesEndsTheCallAndManyEmptyLinesDoNot() throws Exception {
+        String list = "{\"hosts\":[" + host(0) + ",{\"host\":\"";
+        for (String rest : List.of("x".repeat(1 << 20), "h\",\"a\":[" + "1,".repeat(1 << 19),
+            "h\",\"" + "n".repeat(1 << 20), "h\"" + " ".repeat(1 << 20))) {
+            reader = new ListReader(this, MOST);
+            assertThrows(IOException.class, () -> read(list + rest, 8192));
+        }
+        reader = new ListReader(this, MOST);
+        read("\n".repeat(1 << 18), 1);
+        read("{\"hosts\":[" + hosts(6) + "]}", 8192);
+        assertEquals("ends NaN", told.get(told.size() - 1));
+        assertThrows(IOException.class, () -> read("{\"hosts\":" + "[".repeat(100), 8192), "nested too deep");
+    }
+
+    /** As the file has it, after all else or before it, without its text in memory. */
+    @Test void theListKnownFromBeforeIsReadFromTheFile(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        String known = "\"known\":{\"seq\":41,\"hosts\":[" + hosts(1200) + "],\"whole\":true}";
+        String rest = """
+            "listen":"127.0.0.1:0","discovery":"127.0.0.1:1","name":"n","limits":{"memory_mb":32},
+             "peers":["a"],"settings":{"rank":0,"group_size":1,"known":{},"request_classes":
+              [{"name":"r","effect":"read_like","aim":6,"hard_limit":2000}],"tariffs":[]}""";
+        for (String text : List.of(known + "," + rest, rest + "," + known)) {
+            told.clear();
+            Files.writeString(file, "{" + text + "}");
+            Config config = Config.fromEnvironment(Map.of("EDGE_CONFIG", file.toString()));
+            assertEquals((32 << 20) / 800, config.servers());
+            config.known().read(reader);
+            assertEquals(List.of("begins", "changes 1000", "changes 200", "ends 41.0 whole drops"), told);
+        }
+        for (String none : List.of("", ",\"known\":null")) {
+            Files.writeString(file, "{" + rest + none + "}");
+            assertEquals(null, Config.fromEnvironment(Map.of("EDGE_CONFIG", file.toString())).known());
+        }
+        Json settings = Json.without("known", file).get("settings");
+        assertEquals(Map.of(), settings.get("known").members());
+    }
+}
