--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -115,7 +115,6 @@
     private int openRequests;
     private long held;
     private int logged;
-    private List<Gateway.Server> begun;
     private volatile SocketAddress address;
     private volatile SocketAddress control;
     /** Set at SIGTERM: by then (ms) all is answered, as the process may be killed right after. */
@@ -509,23 +508,31 @@
         tell(m -> m.counted(now(), name, outcome, took, total));
     }
 
-    /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
+    /** A list, or a part of one. The pool hears first, so that what waits there does not go to a drain. */
     @Override public void listed(List<Gateway.Server> list, boolean whole) {
-        if (begun != null) {
-            begun.addAll(list);
+        if (whole) {
+            servers.listBegins();
+        }
+        servers.listed(list);
+        if (whole) {
+            servers.listEnds();
         }
-        servers.listed(list, whole);
         tell(m -> m.servers(now(), list, whole));
+        if (!list.isEmpty()) {
+            servers.known();
+        }
     }
 
+    /** A whole list begins: its parts follow as changes, and what none of them names is gone at its end. */
     @Override public void listBegins() {
-        begun = new ArrayList<>();
+        servers.listBegins();
+        tell(m -> m.listBegins(now()));
     }
 
     @Override public void listEnds() {
-        List<Gateway.Server> all = begun;
-        begun = null;
-        listed(all, true);
+        servers.listEnds();
+        tell(m -> m.listEnds(now()));
+        servers.known();
     }
 
     @Override public void say(String what) {
@@ -543,7 +550,7 @@
         if (module != null) {
             tell(m -> avoided[0] = m.avoided(now()));
         }
-        return metrics.text(openRequests, servers.listed(), avoided[0]);
+        return metrics.text(openRequests, module == null ? 0 : module.listed(), avoided[0]);
     }
 
     /** One call of the operators, with what becomes of it. */
@@ -634,4 +641,12 @@
     @Override public void withdraw(String server) {
         servers.withdraw(server);
     }
+
+    @Override public void keep(Gateway.Server server) {
+        servers.keep(server);
+    }
+
+    @Override public void release(String server) {
+        servers.release(server);
+    }
 }
--- a/src/test/java/willowyoke/ListMemory.java
+++ b/src/test/java/willowyoke/ListMemory.java
@@ -18,8 +18,9 @@
 
 /**
  * Measures one edge node, with the deploy file's flags, that is told a list of so many servers: known from
- * before, if asked for, then whole by discovery, three times. Not a test: {@code ListMemory [SERVERS] [known]}
- * from the root. A line of CSV a step: wall and CPU (ms) since the step before, resident memory and peak (MB).
+ * before, if asked for, then whole by discovery, three times. Not a test: from the root, {@code ListMemory
+ * [SERVERS] [known]}. A line of CSV a step: wall and CPU (ms) since the one before, resident memory and its
+ * peak (MB).
  */
 final class ListMemory {
     private static final int TICK = 10;
