--- a/src/test/java/willowyoke/net/ListReaderTest.java
+++ b/src/test/java/willowyoke/net/ListReaderTest.java
@@ -101,7 +101,8 @@
     @Test void aTornListDropsNothing() throws Exception {
         read("{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts(2000) + ",{\"ho", 8192);
         assertTrue(reader.pending());
-        assertEquals(List.of("begins", "changes 1000", "changes 250", "changes 250", "changes 250"), told);
+        assertEquals(List.of("begins", "changes 1000", "changes 250", "changes 250", "changes 250"),
+            told);
     }
 
     @Test void aListPastTheBoundIsToldAndDropsNothing() throws Exception {
