--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -26,7 +26,7 @@
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
  * All of it runs on one event loop thread, the module too. It decides nothing.
  */
-public final class Node implements Gateway.Actions {
+public final class Node implements Gateway.Actions, Discovery.Host {
     /** How a decision module is made. */
     public interface Maker {
         Gateway.Events start(Gateway.Settings settings, long seed, double now, Gateway.Actions actions);
@@ -36,13 +36,8 @@
     private static final double WAY_BACK = 10;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
-    /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
-    private static final long READY_WITHIN = 4000;
-    /**
-     * A list known from before serves after this (ms), until discovery's comes: seconds later after a mass
-     * kill. Until then discovery is waited for, and one quiet call to it: what it has counts as told.
-     */
-    private static final double LIST_WITHIN = 800;
+    /** A loop that is held up by its own work is waited for no longer than this (ms) past the waits. */
+    private static final long LOOP_LATE = 1000;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
@@ -132,7 +127,7 @@
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout(), config.seed());
-        discovery = new Discovery(this, group, config);
+        discovery = new Discovery(this, Discovery.sockets(group), config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
         metrics = new Metrics(config.settings().classes());
@@ -141,8 +136,16 @@
 
     // ---- life ----
 
-    /** Comes up, and listens only once it is ready: a front takes in what answers. */
-    public void start() throws IOException {
+    /** As the first thing that its process does. */
+    void start() throws IOException {
+        start(0);
+    }
+
+    /**
+     * Comes up, and listens only once it is ready: a front takes in what answers. The process has spent so
+     * long (ms) on its start before; see {@link Readiness}.
+     */
+    public void start(double spent) throws IOException {
         if (config.control() != null) {
             control = admin.bind(group, config.control()); // from here on who asks is told: not yet
         }
@@ -155,35 +158,33 @@
                 ready.completeExceptionally(e);
                 return;
             }
+            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
+            servers.ready().thenRun(() -> StartLog.ended("servers"));
+            counter.ready().thenRun(() -> StartLog.ended("counter"));
             cordons(out); // before the first attempt
             cordons.start();
-            discovery.start(config.known());
+            guarded(() -> discovery.start(config.known())); // whatever that list is: discovery has another
             counter.start();
             servers.start();
             clients.start();
             StartLog.ended("loop and module");
-            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
-            servers.ready().thenRun(() -> StartLog.ended("servers"));
-            counter.ready().thenRun(() -> StartLog.ended("counter"));
-            CompletableFuture<Void> list = new CompletableFuture<>();
-            discovery.ready().thenRun(() -> list.complete(null));
-            if (config.known() != null) {
-                after(LIST_WITHIN, () -> list.complete(null));
-            }
-            CompletableFuture.allOf(list, servers.ready(), counter.ready())
-                .thenRun(() -> ready.complete(null));
+            Readiness.of(this, spent, config.known() != null, discovery.ready(), servers.ready(),
+                counter.ready()).thenRun(() -> ready.complete(null));
         });
         try {
-            ready.get(READY_WITHIN, TimeUnit.MILLISECONDS);
+            ready.get((long) Readiness.LIST_WITHOUT + LOOP_LATE, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
-            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
-                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+            System.err.println("ready, with the loop held up");
         } catch (java.util.concurrent.ExecutionException e) {
             throw new IOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
         }
+        if (!(discovery.ready().isDone() && servers.ready().isDone() && counter.ready().isDone())) {
+            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
+                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+        }
         try {
             if (handover.beside()) {
                 clients.bound((int) (config.sockets() * CLIENTS_BESIDE));
@@ -272,12 +273,12 @@
      * The module's clock: milliseconds of one monotonic clock, set once to Unix time. So born_ms needs no
      * translation, and the names on the counter, which the module cuts by time, are alike at all edge nodes.
      */
-    double now() {
+    @Override public double now() {
         return startedMs + (System.nanoTime() - startedNanos) / 1e6;
     }
 
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
-    Future<?> after(double delay, Runnable what) {
+    @Override public Future<?> after(double delay, Runnable what) {
         long nanos = Math.max(0, Math.round(delay * 1e6));
         return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
     }
@@ -307,7 +308,7 @@
         }
     }
 
-    void log(String where, Throwable what) {
+    @Override public void log(String where, Throwable what) {
         if (++logged > LOGGED) {
             return;
         }
@@ -320,7 +321,7 @@
     }
 
     /** Writes out what the events of this round have left on the connections. */
-    void flush() {
+    @Override public void flush() {
         if (!dirty.isEmpty()) {
             Channel[] all = dirty.toArray(new Channel[0]);
             dirty.clear();
@@ -508,7 +509,7 @@
     }
 
     /** A list, or a part of one. The pool hears first, so that what waits there does not go to a drain. */
-    void listed(List<Gateway.Server> list, boolean whole) {
+    @Override public void listed(List<Gateway.Server> list, boolean whole) {
         if (whole) {
             servers.listBegins();
         }
@@ -523,18 +524,22 @@
     }
 
     /** A whole list begins: its parts follow as changes, and what none of them names is gone at its end. */
-    void listBegins() {
+    @Override public void listBegins() {
         servers.listBegins();
         tell(m -> m.listBegins(now()));
     }
 
-    void listEnds() {
+    @Override public void listEnds() {
         servers.listEnds();
         tell(m -> m.listEnds(now()));
         servers.known();
     }
 
-    void discoveryFailed() {
+    @Override public void say(String what) {
+        System.err.println(what);
+    }
+
+    @Override public void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
 
