The ramp of a cold server holds for the whole fleet, with few servers left too

Many gateways with little traffic take longer, at most until two of all come in the rule's time; any send pays the debt. Restarts alone broke nothing: the budget starts anywhere under one send, and is so of all gateways at any moment.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -69,6 +69,12 @@
     /** A server back from the operators is tried between these (ms): gateways must not all come at once. */
     private static final double BACK_FROM = 300;
     private static final double BACK_TO = 3500;
+    /** Many gateways spread this as their budgets would, but so that this many come in the rule's time. */
+    private static final double BACK_TOGETHER = 2;
+    /** A send to a cold server that is due but not used lapses after so many times the rule's own time. */
+    private static final double UNUSED_KEPT = 2;
+    /** About so long (ms) a fleet that shrank is taken for its former size: a lost part comes back sooner. */
+    private static final double UP_KEPT = 60_000;
 
     // ---- state ----
 
@@ -91,6 +97,7 @@
     private int misses, up;
     private long edges;
     private double sentShare = SENT_SHARE, paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
+    private double usualUp;
     private final Set<Customer> active = new LinkedHashSet<>();
     private double window, lineUntil;
     private int callsOut;
@@ -283,6 +290,7 @@
 
     private void countUp() {
         up = (int) hosts.values().stream().filter(h -> h.listed && !h.cordoned).count();
+        usualUp = Math.max(usualUp, up);
     }
 
     /** Nothing that was learnt of the process before holds for this one. */
@@ -329,7 +337,8 @@
             asNew(h);
             h.trial = h.wasDead = false;
             cold(h, now);
-            h.backAt = now + BACK_FROM + (BACK_TO - BACK_FROM) * random.nextDouble();
+            double apart = Math.min(set.nodes() * set.rules().overloadFor() / BACK_TOGETHER, 1 / coldRate(h));
+            h.backAt = now + BACK_FROM + Math.max(BACK_TO - BACK_FROM, apart) * random.nextDouble();
             at(Kind.RETRY, h.backAt, null);
         }
     }
@@ -505,6 +514,7 @@
         sentInPeriod = 0;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
+        usualUp += (up - usualUp) * SUBPERIOD / UP_KEPT;
         sentShare += askRate > 0 ? (Math.min(1, sendRate / askRate) - sentShare) * SLOW : 0;
         ahead.clear();
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
@@ -1033,7 +1043,7 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
-        h.backAt = now >= h.backAt ? Double.MAX_VALUE : h.backAt;
+        h.backAt = Double.MAX_VALUE;
         sentInPeriod++;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
@@ -1094,21 +1104,31 @@
     }
 
     /**
-     * This gateway's part of what a cold server can bear: its mean to a warm one, scaled to what this one can
-     * do. It starts anywhere under one send, as one send of each gateway at once would be far too much. The
-     * mean is by what is asked: with most servers cold or away what is sent falls by this very budget, and
-     * the budget with it, until nearly all is refused.
+     * Sends to a cold server that this gateway may make by now. The count starts anywhere under one, as one
+     * send of each gateway at once would be far too much; and what is not used lapses, as all gateways
+     * would have one saved when they come to need it together.
      */
     private double coldBudget(Host h) {
-        double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double mean = Math.max(sendRate, askRate * sentShare) / Math.max(1, up);
-        double rate = mean / 1000 * warmth(h) * most;
-        h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
-            h.coldCredit + rate * (now - h.coldAt));
+        double rate = coldRate(h);
+        h.coldCredit += rate * (now - h.coldAt);
+        double kept = rate * UNUSED_KEPT * set.rules().overloadFor();
+        h.coldCredit -= Math.max(0, Math.floor(h.coldCredit - kept));
         h.coldAt = now;
         return h.coldCredit;
     }
 
+    /**
+     * This gateway's part of what a cold server can bear, a ms: its mean to a warm one, scaled to what this
+     * one can do. The mean is by what is asked, as far as the pace allows: with most servers cold or away
+     * what is sent falls by this very budget, and the budget with it, until nearly all is refused. It is over
+     * the servers that there usually are: the few left of many are asked for more than any of them can do.
+     */
+    private double coldRate(Host h) {
+        double most = Math.max(1, set.rules().overloadFactor() / 2);
+        double mean = Math.max(sendRate, Math.min(askRate * sentShare, paceRate)) / Math.max(1, usualUp);
+        return mean / 1000 * warmth(h) * most;
+    }
+
     private void cold(Host h, double since) {
         if (warmth(h) >= 1) {
             h.coldCredit = random.nextDouble();
