--- a/src/test/java/willowyoke/WorkingSetTest.java
+++ b/src/test/java/willowyoke/WorkingSetTest.java
@@ -98,6 +98,14 @@
             close += Math.abs(Ring.place(me, 8200) - Ring.place(me - 1, 8200)) <= 8 ? 1 : 0;
         }
         assertTrue(close <= 40, "of 8,199 pairs: " + close);
+        int shared = 0;
+        int all = 0;
+        for (int me = 0; me < 60; me += 2) {
+            Set<String> mine = node(me, 400, 3000).kept;
+            all += mine.size();
+            shared += (int) mine.stream().filter(node(me + 1, 400, 3000).kept::contains).count();
+        }
+        assertTrue(shared <= 0.15 * all, shared + " of " + all);
         boolean[] taken = new boolean[101];
         for (int me = 0; me < 101; me++) {
             taken[Ring.place(me, 101)] = true;
