--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -512,10 +512,35 @@
         tell(m -> m.counted(now(), name, outcome, took, total));
     }
 
-    /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
+    /** A list, or a part of one. The pool hears first, so that what waits there does not go to a drain. */
     @Override public void listed(List<Gateway.Server> list, boolean whole) {
-        servers.listed(list, whole);
+        if (whole) {
+            servers.listBegins();
+        }
+        servers.listed(list);
+        if (whole) {
+            servers.listEnds();
+        }
         tell(m -> m.servers(now(), list, whole));
+        if (!list.isEmpty()) {
+            servers.known();
+        }
+    }
+
+    /** A whole list begins: its parts follow as changes, and what none of them names is gone at its end. */
+    @Override public void listBegins() {
+        servers.listBegins();
+        tell(m -> m.listBegins(now()));
+    }
+
+    @Override public void listEnds() {
+        servers.listEnds();
+        tell(m -> m.listEnds(now()));
+        servers.known();
+    }
+
+    @Override public void say(String what) {
+        System.err.println(what);
     }
 
     @Override public void discoveryFailed() {
@@ -529,7 +554,7 @@
         if (module != null) {
             tell(m -> avoided[0] = m.avoided(now()));
         }
-        return metrics.text(openRequests, servers.listed(), avoided[0]);
+        return metrics.text(openRequests, module == null ? 0 : module.listed(), avoided[0]);
     }
 
     /** One call of the operators, with what becomes of it. */
@@ -620,4 +645,12 @@
     @Override public void withdraw(String server) {
         servers.withdraw(server);
     }
+
+    @Override public void keep(Gateway.Server server) {
+        servers.keep(server);
+    }
+
+    @Override public void release(String server) {
+        servers.release(server);
+    }
 }
