Keep descriptors for discovery, counter and place servers beside a crowd of idle clients

Cause: connections were made ahead to every server of a list, whatever the servers' part of the descriptors; what the process holds itself was in no sum; and where all connections at the clients' bound had come just now, nothing looked again for one to make room, so the next client waited until each had been silent for 2.5 s.

Change: ahead of any request connections are made within the servers' part only. The clients' bound leaves the node's own 40 descriptors (and 17 for the operators' door) free: with 256 and no door it is 140 as before, with the door 127. While none is accepted it is looked every 50 ms for a connection to go.

--- a/src/main/java/willowyoke/net/AdminServer.java
+++ b/src/main/java/willowyoke/net/AdminServer.java
@@ -48,7 +48,7 @@
     private static final int HEAD = 4096;
     private static final int BODY = 1024;
     /** So many callers at a time: scrapes and calls by hand are few, and the sockets are the clients'. */
-    private static final int MOST = 16;
+    static final int MOST = 16;
     /** From accept to the end of a connection (ms); an answer is due within 1 s. */
     private static final double LIFE = 2000;
     private static final String TEXT = "text/plain; charset=utf-8";
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -41,6 +41,8 @@
     /** A client that does not read what it is owed is cut off this long (ms) after the end. */
     private static final int UNREAD = 2000;
 
+    /** While none is accepted, it is looked this often (ms) whether one may make room by now. */
+    private static final double LOOK_AGAIN = 50;
     private static final int BACKLOG = 1024;
     /** So much written and not sent (bytes): no more is read for this client until half of it has gone. */
     private static final int UNSENT = 32 * 1024;
@@ -62,6 +64,7 @@
     private Channel listener;
     private boolean closing;
     private boolean unbinding;
+    private boolean full;
 
     ClientListener(Node node, int most) {
         this.node = node;
@@ -138,19 +141,33 @@
         }
     }
 
-    /** At the bound one connection goes for each that comes; where none can, accepting waits for a close. */
+    /** At the bound one connection goes for each that comes; where none can, accepting waits for one that may. */
     private void room() {
-        if (open.size() > most) {
-            Connection last = last();
-            if (last != null) {
-                last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
-            }
+        Connection last = open.size() > most ? last() : null;
+        while (last != null) {
+            last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
+            open.remove(last); // its end is told later
+            silent.remove(last);
+            last = open.size() > most ? last() : null;
         }
         accept();
     }
 
     private void accept() {
-        listener.config().setAutoRead(unbinding || open.size() < most + Math.max(1, most / 16));
+        boolean room = open.size() < most + beyond(most);
+        listener.config().setAutoRead(unbinding || room);
+        if (!room && !full) {
+            full = true;
+            node.after(LOOK_AGAIN, () -> {
+                full = false;
+                room();
+            });
+        }
+    }
+
+    /** Connections that are held beyond the bound while it is looked for one to make room. */
+    static int beyond(int most) {
+        return Math.max(1, most / 16);
     }
 
     /**
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -57,6 +57,12 @@
     private static final double SERVERS = 0.25;
     /** A new version takes what true clients need, until the old one's have gone; a tenth shut them out. */
     private static final double CLIENTS_BESIDE = 0.34;
+    /**
+     * What the process holds itself, at the most: 24 files of the JVM, its loop and its state, the listener, 8
+     * counter lines while it moves, 5 calls to discovery (a move, and old ones that end) and 2 to spare.
+     */
+    private static final int OWN = 40;
+    private static final int OWN_CONTROL = AdminServer.MOST + 1;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -128,7 +134,7 @@
     public Node(Config config, Maker maker) {
         this.config = config;
         this.maker = maker;
-        clients = new ClientListener(this, (int) (config.sockets() * CLIENTS));
+        clients = new ClientListener(this, clientsOf(CLIENTS));
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout(), config.seed());
@@ -139,6 +145,14 @@
         cordons = new Cordons(this, config.folder(), config.name());
     }
 
+    /** So many clients as this part of the descriptors holds, or as the others' parts and ours leave. */
+    private int clientsOf(double part) {
+        int most = (int) (config.sockets() * part);
+        int left = config.sockets() - (int) (config.sockets() * SERVERS) - OWN - ClientListener.beyond(most)
+            - (config.control() == null ? 0 : OWN_CONTROL);
+        return Math.max(config.sockets() / 3, Math.min(most, left)); // a third is theirs by the terms
+    }
+
     // ---- life ----
 
     /** Comes up, and listens only once it is ready: a front takes in what answers. */
@@ -186,8 +200,8 @@
         }
         try {
             if (handover.beside()) {
-                clients.bound((int) (config.sockets() * CLIENTS_BESIDE));
-                after(longestEnd(), () -> clients.bound((int) (config.sockets() * CLIENTS)));
+                clients.bound(clientsOf(CLIENTS_BESIDE));
+                after(longestEnd(), () -> clients.bound(clientsOf(CLIENTS)));
             }
             SocketAddress bound = clients.bind(group, config.listen());
             handover.claim();
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -331,6 +331,9 @@
     }
 
     private void connect(Target t) {
+        if (open >= most && t.waiting.isEmpty()) {
+            return; // ahead of any request: at the bound those that are asked for have what there is
+        }
         Link link = new Link(t);
         t.connecting++;
         open++;
--- a/src/test/java/willowyoke/net/EndTest.java
+++ b/src/test/java/willowyoke/net/EndTest.java
@@ -1,6 +1,7 @@
 package willowyoke.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -36,4 +37,21 @@
         assertTrue(came >= 8, "each line comes again: " + came);
         assertTrue(came <= 40, came + " connections of four lines in a second");
     }
+
+    /** Connections made ahead, one for each server of a list, took the descriptors of all others. */
+    @Test void connectionsMadeAheadStayWithinTheServersPart() throws Exception {
+        sockets = 40;
+        start();
+        String[] hosts = new String[14];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = entry("s" + i, app.address(), "active");
+        }
+        push(list(42, true, hosts));
+        for (int i = 1; i < 10; i++) { // a quarter of 40
+            app.accept();
+        }
+        assertNull(app.poll(200));
+        get(client(), "01", "read", 1500);
+        assertEquals("01", server.message().get(2));
+    }
 }
