--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -141,7 +141,7 @@
         }
     }
 
-    /** At the bound one connection goes for each that comes; where none can, accepting waits for one that may. */
+    /** At the bound one connection goes for each that comes; where none may yet, accepting waits for one. */
     private void room() {
         Connection last = open.size() > most ? last() : null;
         while (last != null) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -58,8 +58,8 @@
     /** A new version takes what true clients need, until the old one's have gone; a tenth shut them out. */
     private static final double CLIENTS_BESIDE = 0.34;
     /**
-     * What the process holds itself, at the most: 24 files of the JVM, its loop and its state, the listener, 8
-     * counter lines while it moves, 5 calls to discovery (a move, and old ones that end) and 2 to spare.
+     * What the process holds itself, at the most: 24 files of the JVM, its loop and its state, the listener,
+     * 8 counter lines while it moves, 5 calls to discovery (a move, and old ones that end) and 2 to spare.
      */
     private static final int OWN = 40;
     private static final int OWN_CONTROL = AdminServer.MOST + 1;
--- a/src/test/java/willowyoke/net/DescriptorTest.java
+++ b/src/test/java/willowyoke/net/DescriptorTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.File;
-import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -99,7 +98,7 @@
         return run.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    /** All that clients may fill is filled while discovery is away, and the counter and a server break off. */
+    /** All that clients may fill is filled while discovery is away and the counter breaks off. */
     @Test void idleClientsLeaveRoomForTheNodesOwn() throws Exception {
         int port;
         try (ServerSocket free = new ServerSocket(0)) {
