Review of ends: starts, accept queue, evictions, broken values, and accepts that find no descriptor

Causes: with epoll a round accepted one connection whatever waited, as the library takes the new descriptor for a count of bytes; so at the end of a process the listener was closed over its queue, and also where the loop was late. A process told to end during its start listened first, or failed on the ended loop. The connection that made room was closed over what came just then, which is a reset, and with answers in it that a slow client had not read. A large value that broke off took the answers before it along. With no descriptor left for an accept, the library's log line could not open the file of time zones, and that error ended the event loop.

Each new test of EndTest and the second of DescriptorTest fails without its mend. A further test of SpoiltTest holds what was so before: half an answer at a server's close may have run.

--- /dev/null
+++ b/src/main/java/willowyoke/net/AcceptFailure.java
@@ -0,0 +1,27 @@
+package willowyoke.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * On a listener: with no descriptor left it accepts none for a while. The library's own answer is a line of
+ * its log, whose date needs a file that cannot be opened then either: that error ended the event loop.
+ */
+final class AcceptFailure extends ChannelInboundHandlerAdapter {
+    /** Until the next attempt (ms): connections end within some tens of it, and who waits is not answered. */
+    private static final double PAUSE = 100;
+
+    private final Node node;
+
+    AcceptFailure(Node node) {
+        this.node = node;
+    }
+
+    @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Channel listener = ctx.channel();
+        node.log("accept", cause);
+        listener.config().setAutoRead(false);
+        node.after(PAUSE, () -> listener.config().setAutoRead(true));
+    }
+}
--- a/src/main/java/willowyoke/net/AdminServer.java
+++ b/src/main/java/willowyoke/net/AdminServer.java
@@ -67,7 +67,7 @@
         try {
             return new ServerBootstrap().group(group).channel(Transport.listener())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .handler(new AcceptFailure(node)).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
                         taken(channel);
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -4,11 +4,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.ServerSocketChannel;
@@ -38,7 +41,7 @@
     private static final double SWEEP = 250;
     /** At the bound one that has asked nothing yet may go after this (ms): clients ask when they connect. */
     private static final double ASKS_WITHIN = 500;
-    /** A client that does not read what it is owed is cut off this long (ms) after the end. */
+    /** A client that reads nothing of what it is owed for so long (ms) after the end is cut off. */
     private static final int UNREAD = 2000;
 
     /** While none is accepted, it is looked this often (ms) whether one may make room by now. */
@@ -60,10 +63,14 @@
     private final Set<Connection> open = new LinkedHashSet<>();
     /** Those that have sent no whole command yet, the oldest first. */
     private final Set<Connection> silent = new LinkedHashSet<>();
+    /** Those that have made room, until their clients have seen it. */
+    private final Set<Connection> leaving = new LinkedHashSet<>();
     private final ReadAhead.Shared shared;
     private Channel listener;
+    private volatile boolean refused;
     private boolean closing;
     private boolean unbinding;
+    private long accepted;
     private boolean full;
 
     ClientListener(Node node, int most) {
@@ -72,16 +79,19 @@
         shared = new ReadAhead.Shared(node);
     }
 
-    /** Binds; throws where the address cannot be had. */
+    /** Binds; null where the node has been told to end, and throws where the address cannot be had. */
     SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(Transport.listener())
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener())
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-            .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR,
-                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
+            .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR, accepts())
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
+                    if (refused) {
+                        channel.close();
+                        return;
+                    }
                     listener = channel; // on the loop: a client may come before bind has returned
-                    channel.pipeline().addLast(new Queue());
+                    channel.pipeline().addLast(new Queue(), new AcceptFailure(node));
                 }
             })
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.toTheEnd())
@@ -96,21 +106,36 @@
                     silent.add(c);
                     room();
                 }
-            }).bind(address).sync().channel().localAddress();
+            }).bind(address).await();
+        return refused ? null : bound.sync().channel().localAddress();
+    }
+
+    /** Accepts on until none waits: with epoll a round ended behind the first, and hid the rest. */
+    private static RecvByteBufAllocator accepts() {
+        ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
+        accepts.maxMessagesPerRead(ACCEPTS);
+        return accepts.respectMaybeMoreData(false);
+    }
+
+    /** Listens at no time from now on; false where it listens already. */
+    boolean refuse() {
+        refused = listener == null;
+        return refused;
     }
 
     /** Sees the listener's queue run empty: only then nothing that waits in it is reset by a close. */
     private final class Queue extends ChannelInboundHandlerAdapter {
-        private int accepted;
+        private int round;
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            round++;
             accepted++;
             ctx.fireChannelRead(msg);
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            boolean empty = accepted < ACCEPTS; // else the bound of a round ended it
-            accepted = 0;
+            boolean empty = round < ACCEPTS; // else the bound of a round ended it
+            round = 0;
             if (unbinding && empty) {
                 ctx.close();
             }
@@ -145,9 +170,7 @@
     private void room() {
         Connection last = open.size() > most ? last() : null;
         while (last != null) {
-            last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
-            open.remove(last); // its end is told later
-            silent.remove(last);
+            last.leave();
             last = open.size() > most ? last() : null;
         }
         accept();
@@ -185,7 +208,7 @@
             half = half == null && !c.deaf && c.bornAt < before ? c : half;
         }
         for (Connection c : open) {
-            if (c.between() && !silent.contains(c)) {
+            if (c.between() && !silent.contains(c) && c.unsent() == 0) {
                 return c;
             }
         }
@@ -215,14 +238,24 @@
     /** Listens no more, from the next moment on at which no connection waits to be accepted. */
     void unbind() {
         unbinding = true;
-        if (listener != null) { // told to end before it was bound
-            listener.config().setAutoRead(true);
-            node.after(QUIET, listener::close);
-        }
+        listener.config().setAutoRead(true);
+        node.after(QUIET, this::closeWhenEmpty);
+    }
+
+    /** A late loop may not have looked at the queue in all that time: it does in the round before. */
+    private void closeWhenEmpty() {
+        long before = accepted;
+        node.after(1, () -> {
+            if (accepted == before) {
+                listener.close();
+            } else {
+                closeWhenEmpty();
+            }
+        });
     }
 
     boolean idle() {
-        return open.isEmpty();
+        return open.isEmpty() && leaving.isEmpty();
     }
 
     /** Reads on where connections were held back for memory. */
@@ -256,6 +289,12 @@
             connection.drain();
         }
 
+        /** The rest of it does not come: an end of the connection is the only way to tell the client. */
+        void brokenOff() {
+            stream = null;
+            connection.breakOff();
+        }
+
         /** Its last bit is written. */
         void streamed() {
             connection.slots.remove(this);
@@ -409,6 +448,28 @@
             return raw.pending != 0 || !ahead.isEmpty();
         }
 
+        /** Bytes written and not taken over by the system, as the client reads slowly. */
+        private long unsent() {
+            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+            return out == null ? 0 : out.totalPendingWriteBytes();
+        }
+
+        /**
+         * Makes room. What comes in this moment is read and dropped, as a close over it would be a reset, and
+         * that eats the answer before. The client has a while to see it; of many the first go at once.
+         */
+        private void leave() {
+            open.remove(this);
+            silent.remove(this);
+            leaving.add(this);
+            finish();
+            if (leaving.size() > beyond(most)) {
+                Connection first = leaving.iterator().next();
+                leaving.remove(first); // its end is told later
+                first.channel.close();
+            }
+        }
+
         /** Nothing is asked and nothing has begun to come. */
         private boolean between() {
             return slots.isEmpty() && !begun() && !deaf;
@@ -426,7 +487,7 @@
                 finished = true;
                 deaf = true;
                 hold();
-                channel.eventLoop().schedule(() -> channel.close(), UNREAD, TimeUnit.MILLISECONDS);
+                unread(Long.MAX_VALUE);
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                     channel.shutdownOutput();
@@ -435,6 +496,16 @@
             }
         }
 
+        /** Cuts off a client that has taken nothing of what is left to it since it was looked last. */
+        private void unread(long before) {
+            long left = unsent();
+            if (left >= before) {
+                channel.close();
+            } else if (channel.isActive()) {
+                channel.eventLoop().schedule(() -> unread(left), UNREAD, TimeUnit.MILLISECONDS);
+            }
+        }
+
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
             if (body != null) {
                 silentFrom = node.now();
@@ -464,6 +535,14 @@
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
             silent.remove(this);
+            leaving.remove(this);
+            abandon();
+            room();
+            node.flush();
+        }
+
+        /** Nobody is owed anything here any more. */
+        private void abandon() {
             dropBody();
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
@@ -475,8 +554,13 @@
                     slot.stream.abandoned();
                 }
             }
-            room();
-            node.flush();
+        }
+
+        /** The answer that goes out cannot be whole; those before it still get there. */
+        private void breakOff() {
+            deaf = true;
+            abandon();
+            finish();
         }
 
         /**
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -148,8 +148,8 @@
     /** So many clients as this part of the descriptors holds, or as the others' parts and ours leave. */
     private int clientsOf(double part) {
         int most = (int) (config.sockets() * part);
-        int left = config.sockets() - (int) (config.sockets() * SERVERS) - OWN - ClientListener.beyond(most)
-            - (config.control() == null ? 0 : OWN_CONTROL);
+        int left = config.sockets() - (int) (config.sockets() * SERVERS) - OWN
+            - 2 * ClientListener.beyond(most) - (config.control() == null ? 0 : OWN_CONTROL);
         return Math.max(config.sockets() / 3, Math.min(most, left)); // a third is theirs by the terms
     }
 
@@ -162,6 +162,7 @@
         }
         Set<String> out = cordons.load();
         CompletableFuture<Void> ready = new CompletableFuture<>();
+        ended.thenRun(() -> ready.complete(null)); // told to end meanwhile
         group.execute(() -> {
             try {
                 module = maker.start(config.settings(), config.seed(), now(), this);
@@ -203,7 +204,10 @@
                 clients.bound(clientsOf(CLIENTS_BESIDE));
                 after(longestEnd(), () -> clients.bound(clientsOf(CLIENTS)));
             }
-            SocketAddress bound = clients.bind(group, config.listen());
+            SocketAddress bound = ended.isDone() ? null : clients.bind(group, config.listen());
+            if (bound == null) {
+                return; // SIGTERM came first
+            }
             handover.claim();
             address = bound;
         } catch (InterruptedException e) {
@@ -250,6 +254,10 @@
         boolean succeeded = handover.succeeded();
         group.execute(() -> {
             endsAt = now() + longestEnd();
+            if (clients.refuse()) {
+                ended.complete(null); // during the start: nothing is taken, and now nothing will be
+                return;
+            }
             if (succeeded) {
                 clients.unbind();
                 clients.close();
--- a/src/main/java/willowyoke/net/ValueStream.java
+++ b/src/main/java/willowyoke/net/ValueStream.java
@@ -88,7 +88,7 @@
         end(Metrics.Outcome.FAULTED);
         source.stop();
         if (begun) {
-            sink.close(); // the only way to tell the client that it is not whole
+            slot.brokenOff();
         } else {
             slot.answer(new ErrorRedisMessage("ERR failed"));
         }
--- a/src/test/java/willowyoke/net/DescriptorTest.java
+++ b/src/test/java/willowyoke/net/DescriptorTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.File;
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,9 +30,22 @@
     private static final String CALL = "c=read,t=p,d=2000,units=1,spread=1,first=0";
 
     @TempDir Path folder;
+    private final Peer discovery;
+    private final Peer counter;
+    private final Peer app;
+    private final Peer other;
+    private int port;
+    private Path log;
     private final List<AutoCloseable> open = new ArrayList<>();
 
-    private static String config(int listen, Peer discovery, Peer counter, Peer app) {
+    DescriptorTest() throws IOException {
+        discovery = new Peer();
+        counter = new Peer();
+        app = new Peer();
+        other = new Peer();
+    }
+
+    private String config(int told) {
         return """
             {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
              "limits":{"sockets":%d},"counter":"%s","known":%s,
@@ -39,7 +54,7 @@
               "limits":{"send_cap":2,"keepalive":15000,"connect_timeout":250},
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
               "tariffs":[{"name":"p","per_second":80,"depth":80}]}}"""
-            .formatted(listen, discovery.address(), SOCKETS, counter.address(),
+            .formatted(port, discovery.address(), told, counter.address(),
                 NodeFixture.list(41, true, NodeFixture.entry("s0", app.address(), "active")));
     }
 
@@ -55,7 +70,7 @@
         Thread thread = new Thread(() -> {
             try {
                 what.call();
-            } catch (Exception closed) {
+            } catch (Exception | AssertionError closed) {
                 // the test is over, or the node closed this one
             }
         });
@@ -79,14 +94,19 @@
         });
     }
 
-    private Peer.Line client(int port) throws Exception {
+    private Peer.Line client() throws Exception {
         Peer.Line line = Peer.Line.to(port);
         open.add(line);
         return line;
     }
 
-    private static Process node(Path folder, String config, Path log) throws Exception {
-        Path file = Files.writeString(folder.resolve("config"), config);
+    private Process node(int told) throws Exception {
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        log = folder.resolve("log");
+        open.addAll(List.of(discovery, counter, app, other));
+        Path file = Files.writeString(folder.resolve("config"), config(told));
         String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
             .filter(p -> !p.matches(".*(junit|opentest4j|apiguardian|test-classes).*"))
             .collect(Collectors.joining(File.pathSeparator)); // each is a descriptor
@@ -95,23 +115,14 @@
             + "' willowyoke.Main serve");
         run.environment().put("EDGE_CONFIG", file.toString());
         run.environment().put("TMPDIR", Files.createDirectory(folder.resolve("tmp")).toString());
-        return run.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        Process node = run.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        open.add(node::destroyForcibly);
+        return node;
     }
 
     /** All that clients may fill is filled while discovery is away and the counter breaks off. */
     @Test void idleClientsLeaveRoomForTheNodesOwn() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Peer discovery = new Peer();
-        Peer counter = new Peer();
-        Peer app = new Peer();
-        Peer other = new Peer();
-        open.addAll(List.of(discovery, counter, app, other));
-        Path log = folder.resolve("log");
-        Process node = node(folder, config(port, discovery, counter, app), log);
-        open.add(node::destroyForcibly);
+        Process node = node(SOCKETS);
         try {
             Peer.Line watch = discovery.accept();
             watch(watch, "");
@@ -120,19 +131,17 @@
             for (int i = 0; i < LINES; i++) {
                 lines[i] = counter.accept();
             }
-            while (!Files.readString(log).contains("bind")) {
-                Thread.sleep(20);
-            }
+            bound();
             discovery.close();
             watch.close();
             int down = discovery.port();
             for (int i = 0; i < SOCKETS; i++) { // each asks once, and then holds its place
-                Peer.Line idle = client(port);
+                Peer.Line idle = client();
                 idle.command("PING");
                 assertEquals(List.of("+PONG"), idle.message());
             }
             for (int i = 0; i < SOCKETS; i++) {
-                client(port); // says nothing at all
+                client(); // says nothing at all
             }
             for (int i = 0; i < LINES; i++) {
                 lines[i].close();
@@ -150,15 +159,51 @@
             CountDownLatch reached = new CountDownLatch(1);
             serve(other, reached);
             assertTrue(reached.await(10, TimeUnit.SECONDS)); // so the list is taken
-            Peer.Line client = client(port);
+            Peer.Line client = client();
             client.command("CALL.GET", NodeFixture.CUSTOMER, "01", CALL);
             assertEquals(List.of("served"), client.message());
             assertFalse(Files.readString(log).contains("Too many open files"), Files.readString(log));
             assertTrue(node.isAlive());
-        } finally {
-            for (AutoCloseable each : open) {
-                each.close();
+        } catch (IOException | AssertionError e) {
+            throw new AssertionError(Files.readString(log), e);
+        }
+    }
+
+    /** Told of more than the system gives: the first that found none left ended the loop, and so the node. */
+    @Test void withNoneLeftItComesBackByItself() throws Exception {
+        Process node = node(1024);
+        try {
+            serve(app, new CountDownLatch(1));
+            watch(discovery.accept(), "");
+            bound();
+            List<Peer.Line> crowd = new ArrayList<>();
+            for (int i = 0; i < SOCKETS; i++) {
+                crowd.add(client());
+            }
+            while (!Files.readString(log).contains("Too many open files")) {
+                Thread.sleep(20);
+            }
+            for (Peer.Line line : crowd) {
+                line.close();
             }
+            Peer.Line client = client();
+            client.command("CALL.GET", NodeFixture.CUSTOMER, "01", CALL);
+            assertEquals(List.of("served"), client.message());
+            assertTrue(node.isAlive());
+        } catch (IOException | AssertionError e) {
+            throw new AssertionError(Files.readString(log), e);
+        }
+    }
+
+    private void bound() throws Exception {
+        while (!Files.readString(log).contains("bind")) {
+            Thread.sleep(20);
+        }
+    }
+
+    @AfterEach void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
         }
     }
 }
--- a/src/test/java/willowyoke/net/SpoiltTest.java
+++ b/src/test/java/willowyoke/net/SpoiltTest.java
@@ -79,6 +79,24 @@
         assertTrue(server.ended());
     }
 
+    /** Half an array is an error by the codec's word, half a line a reset: by both it may have run. */
+    @Test void halfAnAnswerAtTheCloseMayHaveRun() throws Exception {
+        start();
+        Peer.Line client = client();
+        for (int i = 1; i <= 2; i++) {
+            get(client, "0" + i, "read", 60_000);
+            arrived(i, "read");
+            Peer.Line line = i == 1 ? server : app.accept();
+            line.message();
+            line.write(i == 1 ? "*3\r\n$5\r\nst" : "-ERR fai");
+            line.close();
+            expect("ended " + i + (i == 1 ? " 0 ERROR false" : " 0 RESET false"));
+            assertEquals(List.of("-ERR failed"), client.message());
+        }
+        next(client, 3).value("own");
+        assertEquals(List.of("own"), client.message());
+    }
+
     /** A report that cannot be read spoils no value, and the connection is as good as before. */
     @Test void aBadReportSpoilsNoValue() throws Exception {
         start();
