--- a/src/test/java/willowyoke/net/EndTest.java
+++ b/src/test/java/willowyoke/net/EndTest.java
@@ -133,6 +133,21 @@
         draining.join();
     }
 
+    /** A client that rests until it is ended may send in that moment: it asks once more elsewhere. */
+    @Test void whatComesBehindTheEndIsNotTaken() throws Exception {
+        start();
+        Peer.Line resting = client();
+        resting.command("PING");
+        assertEquals(List.of("+PONG"), resting.message());
+        drained = true;
+        Thread draining = new Thread(node::drain);
+        draining.start();
+        assertEquals(-1, resting.in.read()); // its side is open, and read, for a while
+        get(resting, "01", "read", 900);
+        draining.join();
+        assertTrue(told.stream().noneMatch(t -> t.startsWith("arrived")), told.toString());
+    }
+
     /** Closed over bytes that had not been read, its connection was reset. */
     @Test void whoMakesRoomIsEndedAndNotReset() throws Exception {
         assumeTrue(Epoll.isAvailable()); // what came first is told first
