--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -231,7 +231,7 @@
 
     private record Timer(double at, long serial, Kind kind, Req req) { }
 
-    Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
+    public Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
         set = settings;
         act = actions;
         random = new Random(seed);
--- /dev/null
+++ b/src/main/java/willowyoke/scale/CpuMeter.java
@@ -0,0 +1,46 @@
+package willowyoke.scale;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+
+/** CPU of this thread between begin and end, less what a reading costs itself. */
+final class CpuMeter {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final int READINGS = 100_000;
+
+    private static final double COST = cost();
+
+    private long begun;
+    private double nanos;
+
+    private static double cost() {
+        double best = Double.MAX_VALUE;
+        for (int round = 0; round < 5; round++) { // the first rounds are cold code
+            long from = now();
+            for (int i = 0; i < READINGS; i++) {
+                now();
+            }
+            best = Math.min(best, (now() - from) / (double) READINGS);
+        }
+        return best;
+    }
+
+    private static long now() {
+        return THREADS.getCurrentThreadCpuTime();
+    }
+
+    void begin() {
+        begun = now();
+    }
+
+    void end() {
+        nanos += now() - begun - COST;
+    }
+
+    /** CPU so far (us), and a new start. */
+    double take() {
+        double micros = nanos / 1000;
+        nanos = 0;
+        return micros;
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/Experiment.java
@@ -0,0 +1,137 @@
+package willowyoke.scale;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** What all experiments have: a seed, an end in time, progress, and where the figures go. */
+abstract class Experiment implements Callable<Integer> {
+    /** Thrown where --max-seconds is over: what is measured until then is kept. */
+    static final class TimeUp extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** The clock is asked for the end of the run every so many events. */
+    private static final int EVENTS = 256;
+    private static final long PROGRESS = 1_000_000_000L;
+
+    @Option(names = "--seed", defaultValue = "1", description = "of all chance (default ${DEFAULT-VALUE})")
+    long seed;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "writes the rows as .csv or .json, one a line")
+    Path out;
+
+    @Option(names = "--append", description = "keeps the rows that FILE has")
+    boolean append;
+
+    @Option(names = "--max-seconds", defaultValue = "600",
+        description = "ends after this, with the points so far and exit code 1 (default ${DEFAULT-VALUE})")
+    int maxSeconds;
+
+    @Option(names = "--commit", description = "of the build, for the rows (default: asked of git)")
+    String commit;
+
+    @Spec CommandSpec spec;
+
+    Results results;
+    private long end;
+    private long shown;
+    private int events;
+
+    /** Measures, and adds each point to the results. */
+    abstract void measure() throws Exception;
+
+    @Override public Integer call() throws Exception {
+        require(maxSeconds > 0, "--max-seconds has to be above 0");
+        require(out == null || out.toString().matches(".*\\.(csv|json)"), "--out has to end in .csv or .json");
+        require(out == null || Files.isDirectory(out.toAbsolutePath().getParent()),
+            "no folder for --out " + out);
+        results = new Results(commandLine(), commit == null ? commitOfFolder() : commit);
+        end = System.nanoTime() + maxSeconds * 1_000_000_000L;
+        boolean whole = true;
+        try {
+            measure();
+        } catch (TimeUp e) {
+            whole = false;
+            System.err.println("stopped: --max-seconds " + maxSeconds + " are over, not all points are measured");
+        }
+        results.printFits();
+        if (out != null) {
+            results.write(out, append);
+        }
+        return whole ? 0 : 1;
+    }
+
+    /** As a part of another experiment. */
+    void measureFor(Experiment whole) throws Exception {
+        seed = whole.seed;
+        results = whole.results;
+        end = whole.end;
+        measure();
+    }
+
+    static void require(boolean holds, String what) {
+        if (!holds) {
+            throw new Refused(what);
+        }
+    }
+
+    static void atLeast(List<Integer> values, int least, String option) {
+        require(values.stream().allMatch(v -> v >= least), option + " has to be " + least + " or more");
+    }
+
+    /** Ends the run where its time is over. */
+    void inTime() {
+        if (++events % EVENTS == 0 && System.nanoTime() > end) {
+            throw new TimeUp();
+        }
+    }
+
+    void inTimeNow() {
+        if (System.nanoTime() > end) {
+            throw new TimeUp();
+        }
+    }
+
+    /** Shown once a second at most. */
+    void progress(String what) {
+        long now = System.nanoTime();
+        if (now - shown > PROGRESS) {
+            shown = now;
+            System.err.println(spec == null ? what : spec.name() + ": " + what + ", "
+                + Math.max(0, (end - now) / 1_000_000_000L) + " s left");
+        }
+    }
+
+    /** With the JVM's options that change figures. */
+    private String commandLine() {
+        StringBuilder line = new StringBuilder(spec.name());
+        for (String arg : spec.commandLine().getParseResult().originalArgs()) {
+            line.append(' ').append(arg);
+        }
+        ManagementFactory.getRuntimeMXBean().getInputArguments().stream().filter(a -> a.startsWith("-X"))
+            .forEach(a -> line.append(' ').append(a));
+        return line.toString();
+    }
+
+    private static String commitOfFolder() {
+        try {
+            Process git = new ProcessBuilder("git", "describe", "--always", "--dirty", "--exclude", "*")
+                .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            String told = new String(git.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
+            return git.waitFor() == 0 ? told : "unknown";
+        } catch (IOException e) {
+            return "unknown";
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "unknown";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/HollowNode.java
@@ -0,0 +1,248 @@
+package willowyoke.scale;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import willowyoke.Decide;
+import willowyoke.Gateway;
+
+/** An edge node without sockets: the true decision module on a virtual clock, among stand-ins. */
+final class HollowNode implements Gateway.Actions {
+    private static final double[] NO_LOAD = new double[0];
+
+    /** What a node meets; both call back on the clock, never at once. */
+    interface Peers {
+        /** Begins an attempt at a server. */
+        void attempt(HollowNode node, Attempt attempt);
+
+        /** Adds to a name of the counter. */
+        void count(HollowNode node, long name, double amount);
+    }
+
+    /** A request that came to a node. */
+    static final class Open {
+        final long id;
+        final String type;
+        final double arrived;
+        final double deadline;
+        final List<Attempt> attempts = new ArrayList<>(1);
+        boolean over;
+        int out;
+
+        Open(Gateway.Request told, double now) {
+            id = told.id();
+            type = told.type();
+            arrived = now;
+            deadline = now + told.patience();
+        }
+    }
+
+    /** One try at a server. */
+    static final class Attempt {
+        final Open request;
+        final int number;
+        final int server;
+        final double sent;
+        final int life;
+        boolean done;
+
+        Attempt(Open request, int number, int server, double sent, int life) {
+            this.request = request;
+            this.number = number;
+            this.server = server;
+            this.sent = sent;
+            this.life = life;
+        }
+    }
+
+    final int rank;
+    private final VirtualClock clock;
+    private final Peers peers;
+    private final Gateway.Settings settings;
+    private final Map<Long, Open> open = new HashMap<>();
+    private final Histogram latency;
+    private Gateway.Events module;
+    private CpuMeter meter;
+    /** Events of a process that was killed are dropped by this. */
+    private int life;
+    long sends;
+    long calls;
+    long served;
+    long refused;
+    long failed;
+
+    HollowNode(Gateway.Settings settings, VirtualClock clock, Peers peers, Histogram latency) {
+        rank = settings.me();
+        this.settings = settings;
+        this.clock = clock;
+        this.peers = peers;
+        this.latency = latency;
+    }
+
+    /** Starts, or starts again with nothing known. */
+    void start(long seed) {
+        life++;
+        open.clear();
+        module = new Decide(settings, seed, clock.now(), this);
+    }
+
+    /** The process ends without a word. */
+    void kill() {
+        life++;
+        module = null;
+    }
+
+    boolean up() {
+        return module != null;
+    }
+
+    /** Counts the CPU of the module's events from here on. */
+    void meter(CpuMeter with) {
+        meter = with;
+    }
+
+    // ---- events ----
+
+    void servers(List<Gateway.Server> list, boolean whole) {
+        tell(m -> m.servers(clock.now(), list, whole));
+    }
+
+    void arrive(Gateway.Request told) {
+        Open o = new Open(told, clock.now());
+        open.put(o.id, o);
+        later(told.patience(), () -> timeUp(o));
+        tell(m -> m.arrived(clock.now(), told));
+    }
+
+    /** The client waits no longer: what is out has timed out, and the module has the last word. */
+    private void timeUp(Open o) {
+        for (Attempt a : o.attempts) {
+            ended(a, Gateway.Outcome.TIMEOUT);
+        }
+        if (!o.over) {
+            later(settings.rules().answerGrace(), () -> over(o, () -> failed++));
+        }
+    }
+
+    /** An attempt's outcome; the first good one is the client's. */
+    void ended(Attempt a, Gateway.Outcome outcome) {
+        if (a.done || a.life != life) {
+            return;
+        }
+        a.done = true;
+        Open o = a.request;
+        o.out--;
+        if (outcome == Gateway.Outcome.OK) {
+            over(o, () -> {
+                served++;
+                latency.recordValue(Math.max(1, Math.round(1000 * (clock.now() - o.arrived))));
+            });
+        }
+        boolean over = o.over;
+        tell(m -> m.ended(clock.now(), o.id, a.number, outcome, clock.now() - a.sent, over, 0, NO_LOAD));
+        settle(o);
+    }
+
+    void counted(int asked, long name, Gateway.Outcome outcome, double took, double total) {
+        if (asked == life) {
+            tell(m -> m.counted(clock.now(), name, outcome, took, total));
+        }
+    }
+
+    int life() {
+        return life;
+    }
+
+    private void over(Open o, Runnable count) {
+        if (!o.over) {
+            o.over = true;
+            count.run();
+            settle(o);
+        }
+    }
+
+    /** Forgets a request once it is over and nothing is out for it. */
+    private void settle(Open o) {
+        if (o.over && o.out == 0) {
+            open.remove(o.id);
+        }
+    }
+
+    private void tell(Consumer<Gateway.Events> event) {
+        if (module == null) {
+            return;
+        }
+        if (meter == null) {
+            event.accept(module);
+        } else {
+            meter.begin();
+            event.accept(module);
+            meter.end();
+        }
+    }
+
+    /** On the clock, unless this process has ended by then. */
+    private void later(double delay, Runnable what) {
+        int then = life;
+        clock.after(delay, () -> {
+            if (then == life) {
+                what.run();
+            }
+        });
+    }
+
+    // ---- actions ----
+
+    @Override public void send(long id, String server, double until) {
+        Open o = open.get(id);
+        if (o == null) {
+            return;
+        }
+        Attempt a = new Attempt(o, o.attempts.size(), Servers.number(server), clock.now(), life);
+        o.attempts.add(a);
+        o.out++;
+        if (o.over) {
+            later(0, () -> ended(a, Gateway.Outcome.NOT_SENT));
+            return;
+        }
+        sends++;
+        peers.attempt(this, a);
+    }
+
+    @Override public void cancel(long id, int attempt) {
+        Open o = open.get(id);
+        if (o != null) {
+            later(0, () -> ended(o.attempts.get(attempt), Gateway.Outcome.CANCELLED));
+        }
+    }
+
+    @Override public void refuse(long id, double retryAfter) {
+        Open o = open.get(id);
+        if (o != null) {
+            over(o, () -> refused++);
+        }
+    }
+
+    @Override public void fail(long id) {
+        Open o = open.get(id);
+        if (o != null) {
+            over(o, () -> failed++);
+        }
+    }
+
+    @Override public void timer(double delay, long token) {
+        later(delay, () -> tell(m -> m.timer(clock.now(), token)));
+    }
+
+    @Override public void probe(String server) { }
+
+    @Override public void count(long name, double amount, double keepFor) {
+        calls++;
+        peers.count(this, name, amount);
+    }
+
+    @Override public void subscribe() { }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/ModuleExperiment.java
@@ -0,0 +1,198 @@
+package willowyoke.scale;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import willowyoke.Gateway;
+
+/** The decision module alone: what a request, a change of the list and its state cost. */
+@Command(name = "module", mixinStandardHelpOptions = true,
+    description = "CPU a request and a list change, and memory, of the module alone on a virtual clock")
+final class ModuleExperiment extends Experiment {
+    /** Memory is measured over so many entries at least: one small module is lost in the heap's noise. */
+    private static final int ENTRIES = 20_000;
+    private static final int MODULES_MOST = 200;
+    private static final int CHANGES = 200;
+    /** Requests before the first point, so that all points are of compiled code. */
+    private static final int WARM = 20_000;
+    private static final double START = 1_700_000_000_000.0;
+    private static final double STEP = 1000;
+
+    @Option(names = "--servers", split = ",", defaultValue = "10,200,2000,20000,200000",
+        description = "servers listed, a point each (default ${DEFAULT-VALUE})")
+    List<Integer> sizes;
+
+    @Option(names = "--customers", split = ",", defaultValue = "300,1000,3000,30000",
+        description = "customers, a point each (default ${DEFAULT-VALUE})")
+    List<Integer> customers;
+
+    @Option(names = "--rate", defaultValue = "183", description = "requests a second (default ${DEFAULT-VALUE})")
+    double rate;
+
+    @Option(names = "--nodes", defaultValue = "8200", description = "edge nodes of the fleet that the "
+        + "module is told of (default ${DEFAULT-VALUE})")
+    int nodes;
+
+    @Option(names = "--zones", defaultValue = "18", description = "zones (default ${DEFAULT-VALUE})")
+    int zones;
+
+    @Option(names = "--service-ms", defaultValue = "30", description = "mean time of a server for a "
+        + "request (default ${DEFAULT-VALUE})")
+    double service;
+
+    @Option(names = "--seconds", defaultValue = "30", description = "virtual seconds a point at most "
+        + "(default ${DEFAULT-VALUE})")
+    int seconds;
+
+    @Option(names = "--point-seconds", defaultValue = "20", description = "real seconds of load a point, "
+        + "about (default ${DEFAULT-VALUE})")
+    int pointSeconds;
+
+    /** One module with its load. */
+    private final class Load implements HollowNode.Peers {
+        final VirtualClock clock = new VirtualClock(START);
+        final CpuMeter meter = new CpuMeter();
+        final Histogram latency = new Histogram(3);
+        final Customers asking;
+        final SplittableRandom random = new SplittableRandom(seed);
+        final Map<Long, Double> totals = new HashMap<>();
+        final HollowNode node;
+        long requests;
+
+        Load(int customers) {
+            asking = new Customers(customers, Customers.SKEW);
+            node = new HollowNode(Site.settings(null, 0, nodes, zones), clock, this, latency);
+            node.start(seed);
+        }
+
+        void next() {
+            clock.after(-1000 / rate * Math.log(1 - random.nextDouble()), () -> {
+                next();
+                int customer = asking.pick(random);
+                node.arrive(new Gateway.Request(++requests, Site.type(random.nextDouble()), Site.PLAN,
+                    asking.name(customer), Site.DEADLINE, 1, Math.min(nodes, Site.SPREAD), 0, false));
+            });
+        }
+
+        /** Load for so long (virtual ms), or about so many real seconds. */
+        void run(double virtual, double real) {
+            long end = System.nanoTime() + (long) (real * 1e9);
+            for (double to = clock.now() + virtual; clock.now() < to && System.nanoTime() < end;) {
+                clock.to(Math.min(to, clock.now() + STEP / 10), ModuleExperiment.this::inTime);
+            }
+        }
+
+        @Override public void attempt(HollowNode from, HollowNode.Attempt a) {
+            clock.after(-service * Math.log(1 - random.nextDouble()),
+                () -> from.ended(a, Gateway.Outcome.OK));
+        }
+
+        @Override public void count(HollowNode from, long name, double amount) {
+            double total = totals.merge(name, amount, Double::sum);
+            int life = from.life();
+            clock.after(1, () -> from.counted(life, name, Gateway.Outcome.OK, 1, total));
+        }
+    }
+
+    @Override void measure() {
+        atLeast(sizes, 1, "--servers");
+        atLeast(customers, 1, "--customers");
+        require(rate > 0 && nodes > 0 && zones > 0 && service > 0 && seconds > 0 && pointSeconds > 0,
+            "--rate, --nodes, --zones, --service-ms, --seconds and --point-seconds have to be above 0");
+        Load warm = new Load(customers.get(0));
+        warm.node.servers(new Servers(sizes.get(0), zones).whole(), true);
+        warm.next();
+        while (warm.requests < WARM) {
+            warm.run(STEP, 1);
+        }
+        int few = customers.get(0);
+        for (int size : sizes) {
+            progress(size + " servers");
+            memory(size);
+            cost(size, few, "listed_servers", size);
+        }
+        int usual = sizes.get(Math.min(1, sizes.size() - 1));
+        for (int many : customers) {
+            progress(many + " customers");
+            customers(usual, many);
+        }
+    }
+
+    private void cost(int size, int many, String x, int at) {
+        Load load = new Load(many);
+        Servers servers = new Servers(size, zones);
+        load.node.servers(servers.whole(), true);
+        load.next();
+        load.run(2 * STEP, pointSeconds / 4.0);
+        load.node.meter(load.meter);
+        long before = load.requests;
+        double since = load.clock.now();
+        long calls = load.node.calls;
+        load.run(seconds * STEP, pointSeconds);
+        double lasted = (load.clock.now() - since) / STEP;
+        results.add("module.cpu_us_per_request", x, at,
+            load.meter.take() / Math.max(1, load.requests - before), "us");
+        results.add("module.counter_calls_per_s", x, at, (load.node.calls - calls) / lasted, "1/s");
+        changes(load, servers, x, at);
+    }
+
+    /** Servers begin to drain and come back, one a change. */
+    private void changes(Load load, Servers servers, String x, int at) {
+        load.meter.take();
+        for (int i = 0; i < CHANGES; i++) {
+            int server = load.random.nextInt(servers.size());
+            for (Gateway.State state : List.of(Gateway.State.DRAINING, Gateway.State.UP)) {
+                load.node.servers(List.of(servers.entry(server, state, 0)), false);
+            }
+            inTimeNow();
+        }
+        results.add("module.cpu_us_per_list_change", x, at, load.meter.take() / CHANGES / 2, "us");
+        load.node.servers(servers.whole(), true);
+        results.add("module.cpu_us_per_whole_list", x, at, load.meter.take(), "us");
+    }
+
+    /** Each module has names of its own, as each node reads its own list. */
+    private void memory(int size) {
+        int copies = Math.max(1, Math.min(MODULES_MOST, ENTRIES / size));
+        List<HollowNode> kept = new ArrayList<>();
+        long before = used();
+        for (int i = 0; i < copies; i++) {
+            Load load = new Load(1);
+            load.node.servers(new Servers(size, zones).whole(), true);
+            kept.add(load.node);
+        }
+        results.add("module.memory_bytes", "listed_servers", size, (used() - before) / (double) kept.size(),
+            "bytes");
+    }
+
+    private void customers(int size, int many) {
+        cost(size, many, "customers", many);
+        Load load = new Load(many);
+        load.node.servers(new Servers(size, zones).whole(), true);
+        long before = used();
+        for (int i = 0; i < many; i++) { // all of them within the time that idle ones are kept
+            load.clock.to(load.clock.now() + 10_000.0 / many, this::inTime);
+            load.node.arrive(new Gateway.Request(i, Site.READ, Site.PLAN, load.asking.name(i), Site.DEADLINE, 1,
+                Math.min(nodes, Site.SPREAD), 0, false));
+        }
+        load.clock.to(load.clock.now() + 2 * Site.DEADLINE, this::inTime);
+        results.add("module.memory_bytes", "customers", many, used() - before, "bytes");
+        require(load.node.up(), "the module has ended"); // and is kept until here
+    }
+
+    /** Heap in use after a collection. */
+    private static long used() {
+        Runtime r = Runtime.getRuntime();
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            least = Math.min(least, r.totalMemory() - r.freeMemory());
+        }
+        return least;
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/Servers.java
@@ -0,0 +1,61 @@
+package willowyoke.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import willowyoke.Gateway;
+
+/** The place servers of a run, by number: names, zones and cells are made once and shared by all nodes. */
+final class Servers {
+    /** Few servers drop each other's repeats: a cell is a rack's worth at most. */
+    private static final int CELL = 8;
+
+    private final String[] names;
+    private final String[] zones;
+
+    Servers(int size, int zones) {
+        names = new String[size];
+        this.zones = new String[zones];
+        for (int i = 0; i < size; i++) {
+            names[i] = "s-" + String.format("%08x", i);
+        }
+        for (int i = 0; i < zones; i++) {
+            this.zones[i] = zoneName(i);
+        }
+    }
+
+    static String zoneName(int zone) {
+        return "zone-" + zone;
+    }
+
+    int size() {
+        return names.length;
+    }
+
+    /** Cells lie in one zone each, and zones take turns. */
+    int zone(int server) {
+        return server / CELL % zones.length;
+    }
+
+    String name(int server) {
+        return names[server];
+    }
+
+    /** The number of a server by its name. */
+    static int number(String name) {
+        return Integer.parseUnsignedInt(name, 2, name.length(), 16);
+    }
+
+    /** The entry of a list; startedAt is 0 where the server started long ago. */
+    Gateway.Server entry(int server, Gateway.State state, double startedAt) {
+        return new Gateway.Server(names[server], server / CELL, zones[zone(server)], state, "", startedAt, 1);
+    }
+
+    /** Every server, up since long ago. */
+    List<Gateway.Server> whole() {
+        List<Gateway.Server> list = new ArrayList<>(names.length);
+        for (int i = 0; i < names.length; i++) {
+            list.add(entry(i, Gateway.State.UP, 0));
+        }
+        return list;
+    }
+}
