--- /dev/null
+++ b/src/main/java/willowyoke/scale/AgentStandIn.java
@@ -0,0 +1,226 @@
+package willowyoke.scale;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+import willowyoke.Gateway;
+
+/**
+ * Discovery's agent: the whole list, and watches with the changes; lists of any size, whole or torn, indented
+ * or not. It falls silent on demand. All of its state lives on one loop.
+ */
+final class AgentStandIn implements AutoCloseable {
+    /** How lists are written. */
+    record Form(boolean torn, boolean indented) { }
+
+    private static final String PATH = "/catalog/members";
+    private static final long BEAT = 2;
+    /** Torn lists come in parts of up to so many bytes, with a pause (us) between. */
+    private static final int PART = 20_000;
+    private static final int PAUSE = 300;
+
+    private final EventLoopGroup group;
+    private final Channel listener;
+    private final ChannelGroup watches;
+    private final Servers servers;
+    private final IntFunction<String> dial;
+    private final Form form;
+    private final SplittableRandom random;
+    /** The changes since version 1, in their order; a watch may begin at any of them. */
+    private final List<Integer> changed = new ArrayList<>();
+    private final Gateway.State[] health;
+    private final long[] bornMs;
+    private byte[] whole;
+    private boolean silent;
+    final AtomicLong bytes = new AtomicLong();
+
+    AgentStandIn(EventLoopGroup group, int port, Servers servers, IntFunction<String> dial, Form form, long seed)
+        throws InterruptedException {
+        this.group = group;
+        this.servers = servers;
+        this.dial = dial;
+        this.form = form;
+        random = new SplittableRandom(seed);
+        watches = new DefaultChannelGroup(group.next());
+        health = new Gateway.State[servers.size()];
+        java.util.Arrays.fill(health, Gateway.State.UP);
+        bornMs = new long[servers.size()];
+        listener = Loops.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            () -> List.of(new HttpServerCodec(), new HttpObjectAggregator(4096), new Asked()));
+        group.scheduleAtFixedRate(() -> push("\n".getBytes(StandardCharsets.US_ASCII)), BEAT, BEAT,
+            TimeUnit.SECONDS);
+    }
+
+    int port() {
+        return Loops.port(listener);
+    }
+
+    /** Servers change, in one version; told to all watches. */
+    void change(Set<Integer> which, Gateway.State to, long born) {
+        group.execute(() -> {
+            for (int server : which) {
+                health[server] = to;
+                bornMs[server] = born;
+                changed.add(server);
+            }
+            whole = null;
+            push(list(false, which));
+        });
+    }
+
+    /** Silent: open watches get nothing more, and new calls no answer. */
+    void silence(boolean on) {
+        group.execute(() -> silent = on);
+    }
+
+    private void push(byte[] line) {
+        if (!silent) {
+            for (Channel watch : watches) {
+                write(watch, Unpooled.wrappedBuffer(line));
+            }
+        }
+    }
+
+    /** A version is one more than the changes before it. */
+    private byte[] list(boolean all, Iterable<Integer> which) {
+        String space = form.indented ? "\n  " : "";
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        put(text, "{" + space + "\"seq\":" + (1 + changed.size()) + ',' + space + "\"whole\":" + all + ',' + space
+            + "\"hosts\":[");
+        String comma = "";
+        for (int server : which) {
+            put(text, comma + space + entry(server));
+            comma = ",";
+        }
+        put(text, (form.indented ? "\n]\n}" : "]}") + "\n");
+        return text.toByteArray();
+    }
+
+    private static void put(ByteArrayOutputStream to, String text) {
+        to.writeBytes(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private String entry(int server) {
+        Gateway.Server s = servers.entry(server, health[server], bornMs[server]);
+        String word = switch (health[server]) {
+            case UP -> "active";
+            case DRAINING -> "leaving";
+            case GONE -> "left";
+        };
+        return "{\"host\":\"" + s.id() + "\",\"dial\":\"" + dial.apply(server) + "\",\"site\":\"" + s.zone()
+            + "\",\"class\":\"m\",\"block\":" + s.cell() + ",\"health\":\"" + word + "\",\"share\":1.0,\"born_ms\":"
+            + bornMs[server] + "}";
+    }
+
+    /** The whole list as text, in discovery's form. */
+    byte[] whole() {
+        if (whole == null) {
+            List<Integer> all = new ArrayList<>();
+            for (int i = 0; i < health.length; i++) {
+                if (health[i] != Gateway.State.GONE) {
+                    all.add(i);
+                }
+            }
+            whole = list(true, all);
+        }
+        return whole;
+    }
+
+    private void write(Channel to, ByteBuf text) {
+        bytes.addAndGet(text.readableBytes());
+        to.writeAndFlush(new DefaultHttpContent(text));
+    }
+
+    /** Writes a list whole, or in parts with pauses, and then what follows. */
+    private void send(Channel to, ByteBuf list, Runnable then) {
+        if (!form.torn || list.readableBytes() < 2) {
+            write(to, list);
+            then.run();
+            return;
+        }
+        int part = 1 + random.nextInt(Math.min(PART, list.readableBytes() - 1));
+        write(to, list.readRetainedSlice(part));
+        group.schedule(() -> send(to, list, then), random.nextInt(PAUSE), TimeUnit.MICROSECONDS);
+    }
+
+    @Override public void close() {
+        listener.close().syncUninterruptibly();
+        watches.close();
+    }
+
+    private final class Asked extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            QueryStringDecoder asked = new QueryStringDecoder(request.uri());
+            if (silent) {
+                return;
+            }
+            boolean found = asked.path().equals(PATH) && request.method().equals(HttpMethod.GET);
+            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+                found ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND);
+            if (!found) {
+                HttpUtil.setContentLength(head, 0);
+                ctx.write(head);
+                ctx.writeAndFlush(new DefaultLastHttpContent());
+            } else if (asked.parameters().containsKey("follow")) {
+                head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+                ctx.write(head);
+                send(ctx.channel(), Unpooled.wrappedBuffer(since(asked)), () -> watches.add(ctx.channel()));
+            } else {
+                HttpUtil.setContentLength(head, whole().length);
+                ctx.write(head);
+                send(ctx.channel(), Unpooled.wrappedBuffer(whole()),
+                    () -> ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            }
+        }
+
+        /** What has changed since the version that is named, or the whole list where it is not known. */
+        private byte[] since(QueryStringDecoder asked) {
+            try {
+                int from = Integer.parseInt(asked.parameters().getOrDefault("since", List.of("")).get(0)) - 1;
+                return list(false, new LinkedHashSet<>(changed.subList(from, changed.size())));
+            } catch (NumberFormatException | IndexOutOfBoundsException e) {
+                return whole();
+            } catch (IllegalArgumentException e) { // a version to come
+                return whole();
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                System.err.println("agent: " + cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/PlaceServers.java
@@ -0,0 +1,121 @@
+package willowyoke.scale;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.Consumer;
+
+/**
+ * Place servers by the hundred thousand: hollow ones, each an address of 127/8, before one listener. Their
+ * answer tells how long they held the request, so that a client can tell what came on top.
+ */
+final class PlaceServers implements AutoCloseable {
+    /** The first server is 127.16.0.0: away from the addresses that a machine uses itself. */
+    private static final int FIRST = 127 << 24 | 16 << 16;
+    private static final int MOST = 1 << 19;
+
+    private final Channel listener;
+    private final double serviceMs;
+    /** Requests got, connections open, and when (ns) the last request came, by number of server. */
+    final AtomicLongArray got;
+    final AtomicIntegerArray open;
+    final AtomicLongArray lastGot;
+
+    PlaceServers(EventLoopGroup group, int size, int port, double serviceMs) throws InterruptedException {
+        Experiment.require(size <= MOST, "at most " + MOST + " place servers have an address");
+        this.serviceMs = serviceMs;
+        got = new AtomicLongArray(size);
+        open = new AtomicIntegerArray(size);
+        lastGot = new AtomicLongArray(size);
+        listener = Loops.listen(group, new InetSocketAddress("0.0.0.0", port), this::handlers);
+    }
+
+    private List<ChannelHandler> handlers() {
+        List<ChannelHandler> handlers = Loops.resp();
+        handlers.add(new Connection());
+        return handlers;
+    }
+
+    int port() {
+        return Loops.port(listener);
+    }
+
+    /** Where a server listens, as discovery tells it. */
+    String dial(int server) {
+        int at = FIRST + server;
+        return (at >>> 24) + "." + (at >> 16 & 255) + "." + (at >> 8 & 255) + "." + (at & 255) + ":" + port();
+    }
+
+    private static int number(InetSocketAddress local) {
+        int at = 0;
+        for (byte part : local.getAddress().getAddress()) {
+            at = at << 8 | part & 255;
+        }
+        return at - FIRST;
+    }
+
+    int connections() {
+        int sum = 0;
+        for (int i = 0; i < open.length(); i++) {
+            sum += open.get(i);
+        }
+        return sum;
+    }
+
+    static InetAddress address(int server) throws UnknownHostException {
+        int at = FIRST + server;
+        return InetAddress.getByAddress(new byte[] {(byte) (at >> 24), (byte) (at >> 16), (byte) (at >> 8),
+            (byte) at});
+    }
+
+    @Override public void close() {
+        listener.close().syncUninterruptibly();
+    }
+
+    private final class Connection extends Answers {
+        private int server = -1;
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            int at = number((InetSocketAddress) ctx.channel().localAddress());
+            if (at < 0 || at >= got.length()) {
+                ctx.close(); // no server of this run has that address
+                return;
+            }
+            server = at;
+            open.incrementAndGet(server);
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            if (server >= 0) {
+                open.decrementAndGet(server);
+            }
+        }
+
+        @Override void command(ChannelHandlerContext ctx, List<String> words, Consumer<String> answer) {
+            if (!words.get(0).startsWith("CALL.")) {
+                answer.accept(words.get(0).equals("INFO") ? "-NOPERM\r\n" : "-ERR unknown command\r\n");
+                return;
+            }
+            boolean form = words.size() == (words.get(0).equals("CALL.GET") ? 4 : 5)
+                && words.get(3).matches("c=[^,]+,t=[^,]+,d=\\d+(,.*)?");
+            if (!form) {
+                answer.accept("-SYNTAX\r\n");
+                return;
+            }
+            long from = System.nanoTime();
+            got.incrementAndGet(server);
+            lastGot.set(server, from);
+            ctx.executor().schedule(() -> answer.accept(
+                "*3\r\n" + Loops.bulk("held=" + (System.nanoTime() - from)) + "$-1\r\n$-1\r\n"),
+                Math.round(serviceMs * 1e6), TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -0,0 +1,173 @@
+package willowyoke.scale;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** A real edge node: the process that the deploy file's run line starts, and what the system tells of it. */
+final class RealNode implements AutoCloseable {
+    /** What a node may have on the days that are scored. */
+    static final int MEMORY_MB = 192;
+    private static final int SOCKETS = 1024;
+    private static final Path DEPLOY = Path.of("deploy", "balancer.toml");
+    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
+    private static final Pattern KB = Pattern.compile("\\d+");
+    private static final int READY_SECONDS = 30;
+    private static final int END_SECONDS = 6;
+
+    private final Process process;
+    private final Path folder;
+    final InetSocketAddress address;
+    double readySeconds;
+
+    private RealNode(Process process, Path folder, InetSocketAddress address) {
+        this.process = process;
+        this.folder = folder;
+        this.address = address;
+    }
+
+    /** Starts a node among the peers at these ports; known is the list that it had, as JSON, or null. */
+    static RealNode start(Path root, Map<String, String> settings, String known, int agent, int counter,
+        long seed) throws IOException, InterruptedException {
+        String run = run(root);
+        int port;
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path folder = Files.createTempDirectory("willowyoke-scale");
+        String name = "n" + settings.get("rank");
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port
+            + "\",\"discovery\":\"127.0.0.1:" + agent + "\",\"seed\":\"" + Long.toHexString(seed)
+            + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS
+            + "},\"counter\":\"127.0.0.1:" + counter + "\",\"known\":" + known + ",\"settings\":"
+            + NestedJson.of(settings) + "}");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + SOCKETS + "; " + run)
+            .directory(root.toFile()).redirectErrorStream(true)
+            .redirectOutput(folder.resolve("log").toFile());
+        builder.environment().putAll(Map.of("EDGE_NAME", name, "EDGE_LISTEN", "127.0.0.1:" + port,
+            "EDGE_DISCOVERY", "127.0.0.1:" + agent, "EDGE_CONFIG", config.toString(), "TMPDIR",
+            Files.createDirectory(folder.resolve("tmp")).toString()));
+        long from = System.nanoTime();
+        Process process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly)); // SIGINT ends it too
+        RealNode node = new RealNode(process, folder, new InetSocketAddress("127.0.0.1", port));
+        node.whenReady();
+        node.readySeconds = (System.nanoTime() - from) / 1e9;
+        return node;
+    }
+
+    /** The deploy file's run line. */
+    static String run(Path root) throws IOException {
+        Path deploy = root.resolve(DEPLOY);
+        if (!Files.isReadable(deploy)) {
+            throw new Refused("no " + deploy + ": start it in the repository's folder, or name it with --root");
+        }
+        Matcher run = RUN.matcher(Files.readString(deploy));
+        if (!run.find()) {
+            throw new Refused("no run line in " + deploy);
+        }
+        return run.group(1).replace("\\\"", "\"").replace("\\\\", "\\");
+    }
+
+    private void whenReady() throws IOException, InterruptedException {
+        long end = System.nanoTime() + READY_SECONDS * 1_000_000_000L;
+        while (System.nanoTime() < end) {
+            if (!process.isAlive()) {
+                String told = log();
+                close();
+                throw new Refused("the edge node has ended at once: " + told);
+            }
+            try (Socket ping = new Socket()) {
+                ping.connect(address, 1000);
+                ping.setSoTimeout(1000);
+                ping.getOutputStream().write(Loops.command("PING").getBytes(StandardCharsets.US_ASCII));
+                if (ping.getInputStream().read() == '+') {
+                    return;
+                }
+            } catch (ConnectException e) {
+                Thread.sleep(5); // not up yet
+            } catch (IOException e) {
+                Thread.sleep(5);
+            }
+        }
+        close();
+        throw new Refused("the edge node is not ready within " + READY_SECONDS + " s");
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** The first line of what it has written. */
+    String log() {
+        try (Stream<String> lines = Files.lines(folder.resolve("log"), StandardCharsets.ISO_8859_1)) {
+            return lines.findFirst().orElse("no word");
+        } catch (IOException e) {
+            return "no log";
+        }
+    }
+
+    /** CPU so far (us), all threads: the scheduler's own count, as clock ticks are too coarse. */
+    double cpuMicros() throws IOException {
+        double sum = 0;
+        try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path task : tasks) {
+                try {
+                    sum += Double.parseDouble(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1000;
+                } catch (NoSuchFileException e) {
+                    // a thread that has just ended
+                }
+            }
+        }
+        return sum;
+    }
+
+    /** Memory that it holds (MB). */
+    double rss() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            Matcher kb = KB.matcher(line);
+            if (line.startsWith("VmRSS:") && kb.find()) {
+                return Double.parseDouble(kb.group()) / 1024;
+            }
+        }
+        throw new IOException("no VmRSS of " + process.pid());
+    }
+
+    /** Descriptors that it holds. */
+    long descriptors() throws IOException {
+        try (Stream<Path> all = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return all.count();
+        }
+    }
+
+    @Override public void close() throws IOException {
+        process.destroy();
+        try {
+            if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
+                process.destroyForcibly().waitFor();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- a/src/main/java/willowyoke/scale/Results.java
+++ b/src/main/java/willowyoke/scale/Results.java
@@ -36,6 +36,9 @@
     void printFits() {
         rows.forEach((m, points) -> {
             Fit fit = Fit.of(points);
+            if (points.size() < 2) {
+                return; // shown already
+            }
             String line = fit == null ? "no fit, " + points.size() + " points"
                 : number(fit.slope()) + " x " + m.x + " + " + number(fit.intercept()) + ", residual "
                     + number(fit.residual());
@@ -57,6 +60,9 @@
         StringBuilder text = new StringBuilder();
         rows.forEach((m, points) -> {
             Fit fit = Fit.of(points);
+            if (points.size() < 2) {
+                return; // shown already
+            }
             String line = fit == null ? ",," : number(fit.slope()) + ',' + number(fit.intercept()) + ','
                 + number(fit.residual());
             for (double[] p : points) {
