--- a/src/main/java/willowyoke/scale/Experiment.java
+++ b/src/main/java/willowyoke/scale/Experiment.java
@@ -55,6 +55,7 @@
             "no folder for --out " + out);
         results = new Results(commandLine(), commit == null ? commitOfFolder() : commit);
         end = System.nanoTime() + maxSeconds * 1_000_000_000L;
+        shown = System.nanoTime();
         boolean whole = true;
         try {
             measure();
@@ -112,10 +113,8 @@
 
     /** With the JVM's options that change figures. */
     private String commandLine() {
-        StringBuilder line = new StringBuilder(spec.name());
-        for (String arg : spec.commandLine().getParseResult().originalArgs()) {
-            line.append(' ').append(arg);
-        }
+        StringBuilder line = new StringBuilder(
+            String.join(" ", spec.commandLine().getParseResult().originalArgs()));
         ManagementFactory.getRuntimeMXBean().getInputArguments().stream().filter(a -> a.startsWith("-X"))
             .forEach(a -> line.append(' ').append(a));
         return line.toString();
--- a/src/main/java/willowyoke/scale/HollowCounter.java
+++ b/src/main/java/willowyoke/scale/HollowCounter.java
@@ -12,6 +12,7 @@
     private final Map<Long, Double> totals = new HashMap<>();
     private double free;
     long calls;
+    long late;
 
     HollowCounter(VirtualClock clock, double perSecond, double way) {
         this.clock = clock;
@@ -25,15 +26,16 @@
         double asked = clock.now();
         int life = from.life();
         free = Math.max(free, asked + way / 2) + perCall;
-        boolean late = free + way / 2 - asked > Site.COUNTER_TIMEOUT;
+        boolean isLate = free + way / 2 - asked > Site.COUNTER_TIMEOUT;
         clock.after(free - asked, () -> {
             double total = totals.merge(name, amount, Double::sum);
-            if (!late) {
+            if (!isLate) {
                 clock.after(way / 2,
                     () -> from.counted(life, name, Gateway.Outcome.OK, clock.now() - asked, total));
             }
         });
-        if (late) {
+        if (isLate) {
+            late++;
             silent(from, name);
         }
     }
--- a/src/main/java/willowyoke/scale/NodeExperiment.java
+++ b/src/main/java/willowyoke/scale/NodeExperiment.java
@@ -147,6 +147,9 @@
             results.add("node.served_share", x, at, told.served() / (double) Math.max(1, told.asked()), "share");
             latency("node.added", x, at, told.added());
             load.stop();
+        } catch (RealNode.NotReady e) {
+            System.err.println(x + " " + at + ": " + e.getMessage());
+            results.add("node.served_share", x, at, 0, "share");
         } finally {
             peers.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await();
             clients.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await();
--- a/src/main/java/willowyoke/scale/RealNode.java
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -28,6 +28,15 @@
     private static final int READY_SECONDS = 30;
     private static final int END_SECONDS = 6;
 
+    /** It runs but never answers: a figure of its own, where other sizes work. */
+    static final class NotReady extends Refused {
+        private static final long serialVersionUID = 1L;
+
+        NotReady(String what) {
+            super(what);
+        }
+    }
+
     private final Process process;
     private final Path folder;
     final InetSocketAddress address;
@@ -105,7 +114,7 @@
             }
         }
         close();
-        throw new Refused("the edge node is not ready within " + READY_SECONDS + " s");
+        throw new NotReady("the edge node is not ready within " + READY_SECONDS + " s");
     }
 
     boolean alive() {
--- a/src/main/java/willowyoke/scale/Refused.java
+++ b/src/main/java/willowyoke/scale/Refused.java
@@ -1,7 +1,7 @@
 package willowyoke.scale;
 
 /** What the caller or the machine does not allow: told in one line, with exit code 2. */
-final class Refused extends RuntimeException {
+class Refused extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     Refused(String what) {
--- /dev/null
+++ b/src/test/java/willowyoke/scale/FleetTest.java
@@ -0,0 +1,90 @@
+package willowyoke.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+import willowyoke.Gateway;
+
+class FleetTest {
+    private final Shape shape = new Shape();
+
+    @BeforeEach void defaults() {
+        CommandLine.populateCommand(shape, "--notice-ms", "100,300");
+    }
+
+    private Fleet fleet(int nodes, long seed) {
+        Fleet fleet = new Fleet(shape, nodes, seed, () -> { });
+        fleet.start();
+        fleet.run(3000);
+        return fleet;
+    }
+
+    private static String figures(Fleet f) {
+        return Arrays.toString(Arrays.stream(f.hosts).mapToLong(h -> h.got).toArray()) + f.served() + ' '
+            + f.counter.calls + ' ' + f.latency.getMean();
+    }
+
+    @Test void oneSeedGivesOneRun() {
+        assertEquals(figures(fleet(5, 7)), figures(fleet(5, 7)));
+        assertNotEquals(figures(fleet(5, 7)), figures(fleet(5, 8)));
+    }
+
+    @Test void eachRequestEndsOnce() {
+        Fleet f = fleet(4, 1);
+        f.latency.reset();
+        f.run(Site.DEADLINE + 100);
+        long ended = Arrays.stream(f.nodes).mapToLong(n -> n.served + n.refused + n.failed).sum();
+        assertTrue(f.arrivals() - ended >= 0, f.arrivals() + " came, " + ended + " ended");
+        assertTrue(f.arrivals() - ended < shape.rate * 4, "no more open than a second brings");
+        assertTrue(f.served() > 0.95 * ended);
+    }
+
+    /** What is silent or refuses gets no work done, and what drains gets none once all have heard. */
+    @Test void troublesReachTheNodes() {
+        Fleet f = fleet(3, 1);
+        f.change(List.of(f.servers.entry(0, Gateway.State.DRAINING, 0)));
+        f.run(shape.notice[1] + 1);
+        long before = f.hosts[0].got;
+        f.run(3000);
+        assertEquals(before, f.hosts[0].got);
+        f.silence(true);
+        f.change(List.of(f.servers.entry(0, Gateway.State.UP, 0)));
+        f.run(3000);
+        assertEquals(before, f.hosts[0].got, "discovery is silent");
+        f.hosts[1].end(HollowServer.Life.SILENT);
+        long got = f.hosts[1].got;
+        f.run(3000);
+        assertEquals(got, f.hosts[1].got);
+    }
+
+    @Test void aColdServerIsSlowAtFirst() {
+        VirtualClock clock = new VirtualClock(0);
+        HollowServer host = new HollowServer(new HollowServer.Kind(1, 0, 10), clock);
+        double[] done = new double[2];
+        host.take(10, () -> done[0] = clock.now());
+        clock.to(1000, () -> { });
+        host.restart();
+        assertEquals(null, host.take(10, () -> done[1] = clock.now()));
+        assertEquals(Gateway.Outcome.FULL, host.take(10, () -> { }));
+        clock.to(2000, () -> { });
+        assertEquals(10, done[0]);
+        assertEquals(1000 + 10 / Site.COLD_SHARE, done[1], 1e-6);
+    }
+
+    @Test void theCountersLineMakesLateCallsTimeOut() {
+        Fleet f = new Fleet(shape, 1, 1, () -> { });
+        f.nodes[0].start(1);
+        int most = (int) (Site.COUNTER_TIMEOUT * shape.counterRate / 1000);
+        for (int i = 0; i < 2 * most; i++) {
+            f.nodes[0].count(i, 1, 1000);
+        }
+        assertEquals(2 * most, f.counter.calls);
+        assertTrue(f.counter.late >= most / 2 && f.counter.late <= most + 2, f.counter.late + " of " + 2 * most);
+    }
+}
