Scale run: connections by what the module keeps, and fleets of a node at a time

A fleet whose lists don't fit one memory runs a hollow node after another, each with the whole list; what lies on each server is summed over all.

--- a/src/main/java/willowyoke/scale/Fleet.java
+++ b/src/main/java/willowyoke/scale/Fleet.java
@@ -96,7 +96,7 @@
     long[] connections() {
         long[] sum = new long[hosts.length];
         for (HollowNode node : nodes) {
-            node.addConnections(sum);
+            node.kept().stream().forEach(i -> sum[i]++);
         }
         return sum;
     }
--- a/src/main/java/willowyoke/scale/FleetExperiment.java
+++ b/src/main/java/willowyoke/scale/FleetExperiment.java
@@ -23,15 +23,44 @@
         + "(default ${DEFAULT-VALUE})")
     int seconds;
 
-    @Override void measure() {
+    @Option(names = "--together", defaultValue = "2000000", description = "entries of all nodes' lists up to "
+        + "which nodes share one clock; larger fleets run a node at a time (default ${DEFAULT-VALUE})")
+    long together;
+
+    @Option(names = "--threads", defaultValue = "3", description = "for nodes that run one at a time "
+        + "(default ${DEFAULT-VALUE})")
+    int threads;
+
+    @Override void measure() throws Exception {
         shape.check();
+        require(threads > 0, "--threads has to be above 0");
         atLeast(sizes, 1, "--nodes");
         require(seconds > 0, "--seconds has to be above 0");
         for (int size : sizes) {
-            point(size);
+            if ((long) size * shape.servers(size) <= together) {
+                point(size);
+            } else {
+                lone(size);
+            }
         }
     }
 
+    /** Calls to the counter and latency need nodes that meet: they are not told here. */
+    private void lone(int size) throws Exception {
+        LoneNodes nodes = new LoneNodes(shape, size, seed, seconds);
+        nodes.run(threads, () -> {
+            inTimeNow();
+            progress(nodes.progress());
+        });
+        spread(size, nodes.connections(), nodes.kept, nodes.load());
+    }
+
+    private void spread(int size, long[] connections, long[] kept, long[] load) {
+        Spread.of(connections).into(results, "fleet.connections_per_server", size, 1, "connections");
+        Spread.of(kept).into(results, "fleet.connections_per_node", size, 1, "connections");
+        Spread.of(load).into(results, "fleet.requests_per_server_s", size, seconds, "1/s");
+    }
+
     private void point(int size) {
         Fleet fleet = new Fleet(shape, size, seed, this::inTime);
         fleet.start();
@@ -46,13 +75,11 @@
         for (int i = 0; i < load.length; i++) {
             load[i] -= before[i];
         }
-        Spread.of(fleet.connections()).into(results, "fleet.connections_per_server", size, 1, "connections");
         long[] kept = new long[size];
         for (int i = 0; i < size; i++) {
-            kept[i] = fleet.nodes[i].connections(fleet.servers.size());
+            kept[i] = fleet.nodes[i].kept().cardinality();
         }
-        Spread.of(kept).into(results, "fleet.connections_per_node", size, 1, "connections");
-        Spread.of(load).into(results, "fleet.requests_per_server_s", size, seconds, "1/s");
+        spread(size, fleet.connections(), kept, load);
         double called = (fleet.counter.calls - calls) / (double) seconds;
         results.add("fleet.counter_calls_per_node_s", "nodes", size, called / size, "1/s");
         results.add("fleet.counter_calls_all_s", "nodes", size, called, "1/s");
--- a/src/main/java/willowyoke/scale/HollowNode.java
+++ b/src/main/java/willowyoke/scale/HollowNode.java
@@ -1,6 +1,7 @@
 package willowyoke.scale;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,7 @@
     private final Gateway.Settings settings;
     private final Map<Long, Open> open = new HashMap<>();
     private final Histogram latency;
+    private final BitSet kept = new BitSet();
     private Gateway.Events module;
     private CpuMeter meter;
     /** Events of a process that was killed are dropped by this. */
@@ -86,6 +88,7 @@
     void start(long seed) {
         life++;
         open.clear();
+        kept.clear();
         module = new Decide(settings, seed, clock.now(), this);
     }
 
@@ -94,18 +97,12 @@
         life++;
         module = null;
         open.clear();
+        kept.clear();
     }
 
-    /** How many servers it keeps connections to. */
-    int connections(int listed) {
-        return listed; // the host connects ahead to each one
-    }
-
-    /** Adds one for each server that it keeps a connection to. */
-    void addConnections(long[] sum) {
-        for (int i = 0; i < sum.length; i++) {
-            sum[i]++;
-        }
+    /** The servers, by number, that it keeps connections to. */
+    BitSet kept() {
+        return kept;
     }
 
     boolean up() {
@@ -258,4 +255,12 @@
     }
 
     @Override public void subscribe() { }
+
+    @Override public void keep(Gateway.Server server) {
+        kept.set(Servers.number(server.id()));
+    }
+
+    @Override public void release(String server) {
+        kept.clear(Servers.number(server));
+    }
 }
