--- a/src/main/java/willowyoke/scale/Fleet.java
+++ b/src/main/java/willowyoke/scale/Fleet.java
@@ -92,6 +92,15 @@
         return sum;
     }
 
+    /** Requests answered in any way, or given up, so far. */
+    long ended() {
+        long sum = 0;
+        for (HollowNode node : nodes) {
+            sum += node.served + node.refused + node.failed;
+        }
+        return sum;
+    }
+
     /** Connections that nodes keep to each server. */
     long[] connections() {
         long[] sum = new long[hosts.length];
@@ -124,12 +133,13 @@
         apart = now;
     }
 
-    /** Killed together, and back with nothing known after a while; the list is there at once. */
-    void restart(HollowNode node, double away) {
+    /** Killed together, and back with nothing known after a while; the list and its changes are there. */
+    void restart(HollowNode node, double away, List<Gateway.Server> changed) {
         node.kill();
         clock.after(away, () -> {
             node.start(random.nextLong());
             node.servers(whole, true);
+            node.servers(changed, false);
         });
     }
 
--- a/src/main/java/willowyoke/scale/FleetExperiment.java
+++ b/src/main/java/willowyoke/scale/FleetExperiment.java
@@ -1,23 +1,14 @@
 package willowyoke.scale;
 
-import java.util.List;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Fleets of several sizes in ordinary traffic: connections and load of a server, calls to the counter. */
 @Command(name = "fleet", mixinStandardHelpOptions = true,
     description = "Connections and load a server, and counter calls, over the number of hollow nodes")
-final class FleetExperiment extends Experiment {
+final class FleetExperiment extends FleetRun {
     /** Rates are learnt and first lists have come by then (virtual ms). */
     private static final double SETTLED = 5000;
-    private static final double STEP = 100;
-
-    @Mixin Shape shape;
-
-    @Option(names = "--nodes", split = ",", defaultValue = "10,20,40,80",
-        description = "hollow nodes, a point each (default ${DEFAULT-VALUE})")
-    List<Integer> sizes;
 
     @Option(names = "--seconds", defaultValue = "10", description = "virtual seconds that are measured "
         + "(default ${DEFAULT-VALUE})")
@@ -31,17 +22,15 @@
         + "(default ${DEFAULT-VALUE})")
     int threads;
 
-    @Override void measure() throws Exception {
-        shape.check();
-        require(threads > 0, "--threads has to be above 0");
-        atLeast(sizes, 1, "--nodes");
-        require(seconds > 0, "--seconds has to be above 0");
-        for (int size : sizes) {
-            if ((long) size * shape.servers(size) <= together) {
-                point(size);
-            } else {
-                lone(size);
-            }
+    @Override void check() {
+        require(seconds > 0 && threads > 0, "--seconds and --threads have to be above 0");
+    }
+
+    @Override void point(int size) throws Exception {
+        if ((long) size * shape.servers(size) <= together) {
+            together(size);
+        } else {
+            lone(size);
         }
     }
 
@@ -61,10 +50,8 @@
         Spread.of(load).into(results, "fleet.requests_per_server_s", size, seconds, "1/s");
     }
 
-    private void point(int size) {
-        Fleet fleet = new Fleet(shape, size, seed, this::inTime);
-        fleet.start();
-        run(fleet, SETTLED);
+    private void together(int size) {
+        Fleet fleet = started(size, SETTLED);
         long[] before = got(fleet);
         long calls = fleet.counter.calls;
         long arrivals = fleet.arrivals();
@@ -92,14 +79,6 @@
         }
     }
 
-    private void run(Fleet fleet, double milliseconds) {
-        for (double left = milliseconds; left > 0; left -= STEP) {
-            fleet.run(Math.min(STEP, left));
-            progress(fleet.nodes.length + " nodes, " + fleet.servers.size() + " servers, virtual second "
-                + Math.round((fleet.clock.now() - Fleet.START) / 1000));
-        }
-    }
-
     private static long[] got(Fleet fleet) {
         long[] got = new long[fleet.hosts.length];
         for (int i = 0; i < got.length; i++) {
--- a/src/main/java/willowyoke/scale/HollowServer.java
+++ b/src/main/java/willowyoke/scale/HollowServer.java
@@ -58,6 +58,11 @@
         return age >= Site.WARM_AFTER ? 1 : Site.COLD_SHARE + (1 - Site.COLD_SHARE) * age / Site.WARM_AFTER;
     }
 
+    /** What falls it over: so many attempts in a window (ms) that began then, by the contract's factor. */
+    double budget(double from, double window) {
+        return Site.OVERLOAD_FACTOR * kind.capacity() * speed(from) * window / 1000;
+    }
+
     /** Takes work (ms, as a warm server needs) or turns it away. */
     Gateway.Outcome take(double work, Runnable done) {
         got++;
--- /dev/null
+++ b/src/main/java/willowyoke/scale/RampExperiment.java
@@ -0,0 +1,94 @@
+package willowyoke.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import willowyoke.Gateway;
+
+/** Servers are replaced and come back cold: what they get of all nodes while they warm up. */
+@Command(name = "ramp", mixinStandardHelpOptions = true,
+    description = "The sums that cold servers get of all hollow nodes, over every window of the settings")
+final class RampExperiment extends FleetRun {
+    private static final double SETTLED = 6000;
+
+    @Option(names = "--part", defaultValue = "0.1", description = "of the servers that are replaced together "
+        + "(default ${DEFAULT-VALUE})")
+    double part;
+
+    @Option(names = "--restart-nodes", defaultValue = "0.2", description = "part of the nodes that are killed "
+        + "together during the ramp (default ${DEFAULT-VALUE})")
+    double restarted;
+
+    @Override void check() {
+        require(part > 0 && part <= 1 && restarted >= 0 && restarted <= 1,
+            "--part and --restart-nodes are parts of 1");
+    }
+
+    @Override void point(int size) {
+        Fleet fleet = started(size, SETTLED);
+        long[] before = new long[fleet.hosts.length];
+        List<Gateway.Server> entries = new ArrayList<>();
+        int cold = (int) Math.max(1, part * fleet.hosts.length);
+        double began = fleet.clock.now();
+        for (int i = 0; i < cold; i++) {
+            int server = (int) ((long) i * fleet.hosts.length / cold);
+            fleet.hosts[server].restart();
+            entries.add(fleet.servers.entry(server, Gateway.State.UP, began));
+        }
+        for (int i = 0; i < before.length; i++) {
+            before[i] = fleet.hosts[i].got;
+        }
+        fleet.change(entries);
+        run(fleet, shape.notice[1]);
+        for (int i = 0; i < (int) (restarted * size); i++) {
+            fleet.restart(fleet.nodes[i], 1000, entries);
+        }
+        run(fleet, Site.WARM_AFTER - shape.notice[1]);
+        tell(fleet, size, before, began + shape.notice[1]);
+    }
+
+    /** The fullest window of each server that was cold, of those in which all nodes knew. */
+    private void tell(Fleet fleet, int size, long[] before, double told) {
+        double worst = 0;
+        double mean = 0;
+        int over = 0;
+        int cold = 0;
+        double coldGot = 0;
+        double warmGot = 0;
+        for (int i = 0; i < before.length; i++) {
+            HollowServer host = fleet.hosts[i];
+            if (host.sinceCold == null) {
+                warmGot += host.got - before[i];
+                continue;
+            }
+            cold++;
+            coldGot += host.got - before[i];
+            double[] sums = fullest(host, told);
+            worst = Math.max(worst, sums[0]);
+            mean += sums[0];
+            over += sums[1] > 0 ? 1 : 0;
+        }
+        results.add("ramp.fullest_window_of_budget_worst", "nodes", size, worst, "share");
+        results.add("ramp.fullest_window_of_budget_mean", "nodes", size, mean / cold, "share");
+        results.add("ramp.servers_past_budget_and_chance", "nodes", size, over / (double) cold, "share");
+        results.add("ramp.cold_to_warm_load", "nodes", size,
+            coldGot / cold / (warmGot / Math.max(1, before.length - cold)), "share");
+    }
+
+    /** The most of its budget that a window had, and by how much one went beyond budget and chance. */
+    private static double[] fullest(HollowServer host, double told) {
+        double[] times = host.sinceCold.stream().mapToDouble(t -> t).filter(t -> t >= told).toArray();
+        double most = 0;
+        double beyond = 0;
+        for (int from = 0, to = 0; from < times.length; from++) {
+            while (to < times.length && times[to] < times[from] + Site.OVERLOAD_FOR) {
+                to++;
+            }
+            double budget = host.budget(times[from], Site.OVERLOAD_FOR);
+            most = Math.max(most, (to - from) / budget);
+            beyond = Math.max(beyond, to - from - budget - 2 * Math.sqrt(budget) - 2);
+        }
+        return new double[] {most, beyond};
+    }
+}
--- a/src/main/java/willowyoke/scale/ScaleCli.java
+++ b/src/main/java/willowyoke/scale/ScaleCli.java
@@ -8,7 +8,8 @@
 /** The command line of the scale run: experiments on the node and its module at the size of a large fleet. */
 @Command(name = "willowyoke-scale", mixinStandardHelpOptions = true, version = "0.1.0",
     description = "Measures the edge node and its decisions against the size of the fleet, on loopback.",
-    subcommands = {ScaleCli.Quick.class, ModuleExperiment.class, NodeExperiment.class, FleetExperiment.class},
+    subcommands = {ScaleCli.Quick.class, ModuleExperiment.class, NodeExperiment.class, FleetExperiment.class,
+        RampExperiment.class, ZoneLossExperiment.class},
     footer = "Exit codes: 0 all measured, 1 stopped by --max-seconds or a fault, 2 not possible as asked.")
 public final class ScaleCli {
     private static final int NOT_POSSIBLE = 2;
@@ -47,7 +48,9 @@
                 "--seconds", "5", "--point-seconds", "3");
             FleetExperiment fleet = new FleetExperiment();
             new CommandLine(fleet).parseArgs("--nodes", "2,4,8,16", "--seconds", "3");
-            for (Experiment part : List.of(module, fleet)) {
+            RampExperiment ramp = new RampExperiment();
+            new CommandLine(ramp).parseArgs("--nodes", "2,4,6,8");
+            for (Experiment part : List.of(module, fleet, ramp)) {
                 part.measureFor(this);
             }
         }
--- /dev/null
+++ b/src/main/java/willowyoke/scale/ZoneLossExperiment.java
@@ -0,0 +1,104 @@
+package willowyoke.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import willowyoke.Gateway;
+
+/** All servers of a zone vanish, and later come back cold: how long the fleet takes each time. */
+@Command(name = "zone-loss", mixinStandardHelpOptions = true,
+    description = "Time until as much is served as before, after a zone's loss and after its return")
+final class ZoneLossExperiment extends FleetRun {
+    private static final double SETTLED = 8000;
+    private static final double WINDOW = 500;
+    /** So much of what was served before, in so many windows in a row, is back. */
+    private static final double BACK = 0.99;
+    private static final int IN_A_ROW = 3;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "virtual seconds that are watched after the "
+        + "loss, and after the return (default ${DEFAULT-VALUE})")
+    int seconds;
+
+    @Option(names = "--quiet", description = "discovery is silent meanwhile: nodes have to see for themselves")
+    boolean quiet;
+
+    @Override void check() {
+        require(seconds > 0, "--seconds has to be above 0");
+        require(shape.zones > 1, "--zones has to be above 1");
+    }
+
+    @Override void point(int size) {
+        Fleet fleet = started(size, SETTLED);
+        fleet.silence(quiet);
+        double usual = share(fleet, 4 * WINDOW);
+        long zoneBefore = zoneGot(fleet);
+        run(fleet, 4 * WINDOW);
+        double zoneUsual = (zoneGot(fleet) - zoneBefore) / 4.0;
+        List<Gateway.Server> gone = new ArrayList<>();
+        for (int i = 0; i < fleet.hosts.length; i++) {
+            if (fleet.servers.zone(i) == 0) {
+                fleet.hosts[i].end(HollowServer.Life.SILENT);
+                gone.add(fleet.servers.entry(i, Gateway.State.GONE, 0));
+            }
+        }
+        fleet.change(gone);
+        watch(fleet, size, "loss", usual);
+        results.add("zone.kept_after_loss_least", "nodes", size, leastKept(fleet), "servers");
+        List<Gateway.Server> back = new ArrayList<>();
+        for (Gateway.Server s : gone) {
+            int server = Servers.number(s.id());
+            fleet.hosts[server].restart();
+            back.add(fleet.servers.entry(server, Gateway.State.UP, fleet.clock.now()));
+        }
+        fleet.change(back);
+        long got = zoneGot(fleet);
+        watch(fleet, size, "return", usual);
+        results.add("zone.load_after_return", "nodes", size,
+            (zoneGot(fleet) - got) / (seconds * 1000 / WINDOW) / Math.max(1, zoneUsual), "share");
+    }
+
+    /** Windows of what is served, of all that ends in them: arrivals of a window are too few and too uneven. */
+    private void watch(Fleet fleet, int size, String what, double usual) {
+        double least = 1;
+        double back = seconds * 1000.0;
+        int good = 0;
+        for (int i = 0; i < seconds * 1000 / WINDOW; i++) {
+            double share = share(fleet, WINDOW);
+            least = Math.min(least, share);
+            good = share >= BACK * usual ? good + 1 : 0;
+            if (share < BACK * usual) {
+                back = seconds * 1000.0;
+            } else if (good == IN_A_ROW) {
+                back = Math.min(back, (i + 1 - IN_A_ROW) * WINDOW);
+            }
+        }
+        results.add("zone." + what + "_served_least", "nodes", size, least, "share");
+        results.add("zone." + what + "_time_back", "nodes", size, back, "ms");
+    }
+
+    private double share(Fleet fleet, double window) {
+        long served = fleet.served();
+        long ended = fleet.ended();
+        run(fleet, window);
+        return (fleet.served() - served) / (double) Math.max(1, fleet.ended() - ended);
+    }
+
+    /** Servers that are up, in the set of the node that has fewest. */
+    private static int leastKept(Fleet fleet) {
+        int least = Integer.MAX_VALUE;
+        for (HollowNode node : fleet.nodes) {
+            least = (int) Math.min(least,
+                node.kept().stream().filter(i -> fleet.hosts[i].life == HollowServer.Life.UP).count());
+        }
+        return least;
+    }
+
+    private static long zoneGot(Fleet fleet) {
+        long sum = 0;
+        for (int i = 0; i < fleet.hosts.length; i++) {
+            sum += fleet.servers.zone(i) == 0 ? fleet.hosts[i].got : 0;
+        }
+        return sum;
+    }
+}
--- a/src/test/java/willowyoke/scale/FleetTest.java
+++ b/src/test/java/willowyoke/scale/FleetTest.java
@@ -39,7 +39,7 @@
         Fleet f = fleet(4, 1);
         f.latency.reset();
         f.run(Site.DEADLINE + 100);
-        long ended = Arrays.stream(f.nodes).mapToLong(n -> n.served + n.refused + n.failed).sum();
+        long ended = f.ended();
         assertTrue(f.arrivals() - ended >= 0, f.arrivals() + " came, " + ended + " ended");
         assertTrue(f.arrivals() - ended < shape.rate * 4, "no more open than a second brings");
         assertTrue(f.served() > 0.95 * ended);
