--- /dev/null
+++ b/src/main/java/willowyoke/scale/RegionsExperiment.java
@@ -0,0 +1,42 @@
+package willowyoke.scale;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Regions lose each other: servers are reached within one's own, and the counter in the first one only. */
+@Command(name = "regions", mixinStandardHelpOptions = true,
+    description = "What is served while regions are apart, and after they meet again")
+final class RegionsExperiment extends FleetRun {
+    private static final double SETTLED = 8000;
+
+    @Option(names = "--seconds", defaultValue = "10", description = "virtual seconds apart, and together again "
+        + "(default ${DEFAULT-VALUE})")
+    int seconds;
+
+    @Override void check() {
+        require(seconds > 0, "--seconds has to be above 0");
+        require(shape.regions > 1, "--regions has to be above 1");
+    }
+
+    @Override void point(int size) {
+        Fleet fleet = started(size, SETTLED);
+        part(fleet, size, "regions.before");
+        fleet.apart(true);
+        part(fleet, size, "regions.apart");
+        fleet.apart(false);
+        part(fleet, size, "regions.after");
+    }
+
+    private void part(Fleet fleet, int size, String metric) {
+        long served = fleet.served();
+        long ended = fleet.ended();
+        long calls = fleet.counter.calls;
+        fleet.latency.reset();
+        run(fleet, seconds * 1000.0);
+        results.add(metric + "_served", "nodes", size,
+            (fleet.served() - served) / (double) Math.max(1, fleet.ended() - ended), "share");
+        results.add(metric + "_latency_p99", "nodes", size, fleet.latency.getValueAtPercentile(99) / 1000.0, "ms");
+        results.add(metric + "_counter_calls", "nodes", size, (fleet.counter.calls - calls) / (double) seconds,
+            "1/s");
+    }
+}
--- a/src/main/java/willowyoke/scale/ScaleCli.java
+++ b/src/main/java/willowyoke/scale/ScaleCli.java
@@ -9,7 +9,7 @@
 @Command(name = "willowyoke-scale", mixinStandardHelpOptions = true, version = "0.1.0",
     description = "Measures the edge node and its decisions against the size of the fleet, on loopback.",
     subcommands = {ScaleCli.Quick.class, ModuleExperiment.class, NodeExperiment.class, FleetExperiment.class,
-        RampExperiment.class, ZoneLossExperiment.class},
+        RampExperiment.class, ZoneLossExperiment.class, ChangeExperiment.class, RegionsExperiment.class},
     footer = "Exit codes: 0 all measured, 1 stopped by --max-seconds or a fault, 2 not possible as asked.")
 public final class ScaleCli {
     private static final int NOT_POSSIBLE = 2;
--- a/src/test/java/willowyoke/scale/ScaleCliTest.java
+++ b/src/test/java/willowyoke/scale/ScaleCliTest.java
@@ -48,6 +48,9 @@
         assertRefused("--rate", "module", "--rate", "many");
         assertRefused("--servers", "module", "--servers", "10,0");
         assertRefused("--notice-ms", "fleet", "--notice-ms", "9,1");
+        assertRefused("--part", "ramp", "--part", "2");
+        assertRefused("--regions", "regions");
+        assertRefused("--nodes", "change", "--nodes", "1,99");
         assertRefused("--max-seconds", "fleet", "--max-seconds", "0");
         assertRefused(".csv", "fleet", "--out", "figures.txt");
         assertRefused("folder", "fleet", "--out", folder.resolve("none/figures.csv").toString());
