--- a/src/main/java/willowyoke/scale/Experiment.java
+++ b/src/main/java/willowyoke/scale/Experiment.java
@@ -111,10 +111,17 @@
         }
     }
 
-    /** With the JVM's options that change figures. */
+    /** With the JVM's options that change figures, without where the rows go. */
     private String commandLine() {
-        StringBuilder line = new StringBuilder(
-            String.join(" ", spec.commandLine().getParseResult().originalArgs()));
+        List<String> args = spec.commandLine().getParseResult().originalArgs();
+        StringBuilder line = new StringBuilder();
+        for (int i = 0; i < args.size(); i++) {
+            if (List.of("--out", "--commit").contains(args.get(i))) {
+                i++;
+            } else if (!args.get(i).matches("--append|--(out|commit)=.*")) {
+                line.append(line.length() == 0 ? "" : " ").append(args.get(i));
+            }
+        }
         ManagementFactory.getRuntimeMXBean().getInputArguments().stream().filter(a -> a.startsWith("-X"))
             .forEach(a -> line.append(' ').append(a));
         return line.toString();
