--- a/src/main/java/willowyoke/scale/AgentStandIn.java
+++ b/src/main/java/willowyoke/scale/AgentStandIn.java
@@ -65,7 +65,8 @@
     private boolean silent;
     final AtomicLong bytes = new AtomicLong();
 
-    AgentStandIn(EventLoopGroup group, int port, Servers servers, IntFunction<String> dial, Form form, long seed)
+    AgentStandIn(EventLoopGroup group, int port, Servers servers, IntFunction<String> dial, Form form,
+        long seed)
         throws InterruptedException {
         this.group = group;
         this.servers = servers;
@@ -116,7 +117,8 @@
     private byte[] list(boolean all, Iterable<Integer> which) {
         String space = form.indented ? "\n  " : "";
         ByteArrayOutputStream text = new ByteArrayOutputStream();
-        put(text, "{" + space + "\"seq\":" + (1 + changed.size()) + ',' + space + "\"whole\":" + all + ',' + space
+        put(text, "{" + space + "\"seq\":" + (1 + changed.size()) + ',' + space + "\"whole\":" + all + ','
+            + space
             + "\"hosts\":[");
         String comma = "";
         for (int server : which) {
@@ -139,7 +141,8 @@
             case GONE -> "left";
         };
         return "{\"host\":\"" + s.id() + "\",\"dial\":\"" + dial.apply(server) + "\",\"site\":\"" + s.zone()
-            + "\",\"class\":\"m\",\"block\":" + s.cell() + ",\"health\":\"" + word + "\",\"share\":1.0,\"born_ms\":"
+            + "\",\"class\":\"m\",\"block\":" + s.cell() + ",\"health\":\"" + word
+            + "\",\"share\":1.0,\"born_ms\":"
             + bornMs[server] + "}";
     }
 
--- a/src/main/java/willowyoke/scale/ChangeExperiment.java
+++ b/src/main/java/willowyoke/scale/ChangeExperiment.java
@@ -45,7 +45,8 @@
 
     @Override void measure() throws Exception {
         atLeast(sizes, 1, "--nodes");
-        require(sizes.stream().allMatch(s -> s <= NODES_MOST), "--nodes has to be " + NODES_MOST + " or less");
+        require(sizes.stream().allMatch(s -> s <= NODES_MOST), "--nodes has to be " + NODES_MOST
+            + " or less");
         require(listed > 1 && rate > 0 && changes > 0 && pause > 0,
             "--servers has to be above 1, --rate, --changes and --pause-ms above 0");
         RealNode.run(root);
--- a/src/main/java/willowyoke/scale/CounterStandIn.java
+++ b/src/main/java/willowyoke/scale/CounterStandIn.java
@@ -34,13 +34,15 @@
     final AtomicLong calls = new AtomicLong();
     volatile boolean silent;
 
-    CounterStandIn(EventLoopGroup group, int port, double perSecond, double delayMs) throws InterruptedException {
+    CounterStandIn(EventLoopGroup group, int port, double perSecond, double delayMs)
+        throws InterruptedException {
         perCall = Math.round(1e9 / perSecond);
         delay = Math.round(delayMs * 1e6);
         listener = Loops.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), () -> {
             List<ChannelHandler> handlers = Loops.resp();
             handlers.add(new Answers() {
-                @Override void command(ChannelHandlerContext ctx, List<String> words, Consumer<String> answer) {
+                @Override void command(ChannelHandlerContext ctx, List<String> words,
+                    Consumer<String> answer) {
                     call(ctx, words, answer);
                 }
             });
@@ -62,7 +64,8 @@
             answer.accept("-ERR no such call\r\n");
             return;
         }
-        boolean good = words.size() == 4 && words.get(0).equals("CNT.ADD") && words.get(1).length() <= NAME_MOST
+        boolean good = words.size() == 4 && words.get(0).equals("CNT.ADD") && words.get(1)
+            .length() <= NAME_MOST
             && Math.abs(amount) <= AMOUNT_MOST && life >= 1;
         if (!good) {
             answer.accept("-ERR no such call\r\n");
--- a/src/main/java/willowyoke/scale/Experiment.java
+++ b/src/main/java/willowyoke/scale/Experiment.java
@@ -25,7 +25,8 @@
     @Option(names = "--seed", defaultValue = "1", description = "of all chance (default ${DEFAULT-VALUE})")
     long seed;
 
-    @Option(names = "--out", paramLabel = "FILE", description = "writes the rows as .csv or .json, one a line")
+    @Option(names = "--out", paramLabel = "FILE",
+        description = "writes the rows as .csv or .json, one a line")
     Path out;
 
     @Option(names = "--append", description = "keeps the rows that FILE has")
@@ -50,7 +51,8 @@
 
     @Override public Integer call() throws Exception {
         require(maxSeconds > 0, "--max-seconds has to be above 0");
-        require(out == null || out.toString().matches(".*\\.(csv|json)"), "--out has to end in .csv or .json");
+        require(out == null || out.toString().matches(".*\\.(csv|json)"),
+            "--out has to end in .csv or .json");
         require(out == null || Files.isDirectory(out.toAbsolutePath().getParent()),
             "no folder for --out " + out);
         results = new Results(commandLine(), commit == null ? commitOfFolder() : commit);
@@ -61,7 +63,8 @@
             measure();
         } catch (TimeUp e) {
             whole = false;
-            System.err.println("stopped: --max-seconds " + maxSeconds + " are over, not all points are measured");
+            System.err.println("stopped: --max-seconds " + maxSeconds
+                + " are over, not all points are measured");
         }
         results.printFits();
         if (out != null) {
--- a/src/main/java/willowyoke/scale/Fit.java
+++ b/src/main/java/willowyoke/scale/Fit.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** A straight line through measured points by least squares; the residual is the root mean square error in y. */
+/** A straight line by least squares; the residual is the root mean square error, in the unit of y. */
 record Fit(double slope, double intercept, double residual) {
     /** Fewer points than this make no slope: any three lie near some line. */
     static final int LEAST = 4;
--- a/src/main/java/willowyoke/scale/LoadDriver.java
+++ b/src/main/java/willowyoke/scale/LoadDriver.java
@@ -60,8 +60,8 @@
     private Histogram added = new Histogram(3);
 
     /** The nodes may be the first of a larger fleet: the sets of their customers are then of that size. */
-    LoadDriver(EventLoopGroup group, List<InetSocketAddress> nodes, int fleet, Customers customers, double rate,
-        long seed) {
+    LoadDriver(EventLoopGroup group, List<InetSocketAddress> nodes, int fleet, Customers customers,
+        double rate, long seed) {
         this.fleet = fleet;
         this.group = group;
         this.customers = customers;
@@ -115,7 +115,8 @@
         String id = String.format("%016x", ++ids);
         String list = "c=" + type + ",t=" + Site.PLAN + ",d=" + Math.round(Site.DEADLINE)
             + (type.equals(Site.KEYED) ? ",k=" + id : "") + ",units=1,spread=" + spread + ",first=" + first;
-        String command = type.equals(Site.READ) ? Loops.command("CALL.GET", customers.name(customer), id, list)
+        String command = type.equals(Site.READ) ? Loops.command("CALL.GET", customers.name(customer), id,
+            list)
             : Loops.command("CALL.POST", customers.name(customer), id, list, "body");
         asked++;
         Asked a = new Asked(target, command, intended);
@@ -179,7 +180,8 @@
             if (answer instanceof FullBulkStringRedisMessage value && !value.isNull()) {
                 served++;
                 String held = value.content().toString(StandardCharsets.US_ASCII);
-                double took = System.nanoTime() - a.intended - Double.parseDouble(held.substring("held=".length()));
+                double took = System.nanoTime() - a.intended
+                    - Double.parseDouble(held.substring("held=".length()));
                 added.recordValue((long) Math.max(1, Math.min(took / 1000, LONGEST_US)));
             } else if (answer instanceof ErrorRedisMessage error && error.content().startsWith("BUSY")) {
                 refused++;
--- a/src/main/java/willowyoke/scale/Loops.java
+++ b/src/main/java/willowyoke/scale/Loops.java
@@ -53,14 +53,16 @@
                 }
             }).bind(at).await();
         if (!bound.isSuccess()) {
-            throw new Refused("cannot listen at " + at.getAddress().getHostAddress() + ":" + at.getPort() + ": "
+            throw new Refused("cannot listen at " + at.getAddress().getHostAddress() + ":" + at.getPort()
+                + ": "
                 + bound.cause().getMessage());
         }
         return bound.channel();
     }
 
     static ChannelFuture connect(EventLoopGroup group, InetSocketAddress to, ChannelHandler... handlers) {
-        return new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        return new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY,
+            true)
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel c) {
                     c.pipeline().addLast(handlers);
--- a/src/main/java/willowyoke/scale/ModuleExperiment.java
+++ b/src/main/java/willowyoke/scale/ModuleExperiment.java
@@ -32,7 +32,8 @@
         description = "customers, a point each (default ${DEFAULT-VALUE})")
     List<Integer> customers;
 
-    @Option(names = "--rate", defaultValue = "183", description = "requests a second (default ${DEFAULT-VALUE})")
+    @Option(names = "--rate", defaultValue = "183",
+        description = "requests a second (default ${DEFAULT-VALUE})")
     double rate;
 
     @Option(names = "--nodes", defaultValue = "8200", description = "edge nodes of the fleet that the "
@@ -158,8 +159,8 @@
     }
 
     /**
-     * Each module has names of its own, as each node reads its own list. What is in use with them less what is
-     * in use without, the middle of three.
+     * Each module has names of its own, as each node reads its own list. What is in use with them, less what
+     * is in use without; the middle of three.
      */
     private void memory(int size) {
         int copies = Math.max(1, Math.min(MODULES_MOST, ENTRIES / size));
@@ -186,8 +187,8 @@
         load.node.servers(new Servers(size, zones).whole(), true);
         for (int i = 0; i < many; i++) { // all of them within the time that idle ones are kept
             load.clock.to(load.clock.now() + 10_000.0 / many, this::inTime);
-            load.node.arrive(new Gateway.Request(i, Site.READ, Site.PLAN, load.asking.name(i), Site.DEADLINE, 1,
-                Math.min(nodes, Site.SPREAD), 0, false));
+            load.node.arrive(new Gateway.Request(i, Site.READ, Site.PLAN, load.asking.name(i), Site.DEADLINE,
+                1, Math.min(nodes, Site.SPREAD), 0, false));
         }
         load.clock.to(load.clock.now() + 2 * Site.DEADLINE, this::inTime);
         load.totals.clear(); // the counter's, not the node's
--- a/src/main/java/willowyoke/scale/NodeExperiment.java
+++ b/src/main/java/willowyoke/scale/NodeExperiment.java
@@ -14,7 +14,7 @@
 
 /** One real node, as the deploy file runs it, among stand-ins on loopback. */
 @Command(name = "node", mixinStandardHelpOptions = true,
-    description = "CPU, memory and added latency of a real node over servers, requests, customers and changes")
+    description = "CPU, memory and added latency of a real node by servers, load and changes")
 final class NodeExperiment extends Experiment {
     /** Connections, rates and compiled code stand by then (ms). */
     private static final int SETTLED = 6000;
@@ -49,7 +49,8 @@
         + "(default ${DEFAULT-VALUE})")
     int seconds;
 
-    @Option(names = "--nodes", defaultValue = "8200", description = "edge nodes of the fleet that the node is "
+    @Option(names = "--nodes", defaultValue = "8200",
+        description = "edge nodes of the fleet that the node is "
         + "told of (default ${DEFAULT-VALUE})")
     int nodes;
 
@@ -74,7 +75,8 @@
     @Option(names = "--indented", description = "the agent indents its lists")
     boolean indented;
 
-    @Option(names = "--server-port", defaultValue = "0", description = "of all place servers; 0 takes a free one")
+    @Option(names = "--server-port", defaultValue = "0",
+        description = "of all place servers; 0 takes a free one")
     int serverPort;
 
     @Override void measure() throws Exception {
@@ -116,7 +118,8 @@
             CounterStandIn counter = new CounterStandIn(peers, 0, counterRate, counterDelay);
             AgentStandIn agent = new AgentStandIn(peers, 0, all, place::dial,
                 new AgentStandIn.Form(torn, indented), seed);
-            RealNode node = RealNode.start(root, Site.keys(0, nodes, zones), "null", agent.port(), counter.port(),
+            RealNode node = RealNode.start(root, Site.keys(0, nodes, zones), "null", agent.port(),
+                counter.port(),
                 seed)) {
             LoadDriver load = new LoadDriver(clients, List.of(node.address), nodes,
                 new Customers(asking, Customers.SKEW), rate, seed);
@@ -144,7 +147,8 @@
             results.add("node.server_connections", x, at, place.connections(), "connections");
             results.add("node.counter_calls_per_s", x, at, (counter.calls.get() - calls) / lasted, "1/s");
             results.add("node.discovery_bytes_per_s", x, at, (agent.bytes.get() - bytes) / lasted, "bytes/s");
-            results.add("node.served_share", x, at, told.served() / (double) Math.max(1, told.asked()), "share");
+            results.add("node.served_share", x, at, told.served() / (double) Math.max(1, told.asked()),
+                "share");
             latency("node.added", x, at, told.added());
             load.stop();
         } catch (RealNode.NotReady e) {
--- a/src/main/java/willowyoke/scale/RampExperiment.java
+++ b/src/main/java/willowyoke/scale/RampExperiment.java
@@ -16,7 +16,8 @@
         + "(default ${DEFAULT-VALUE})")
     double part;
 
-    @Option(names = "--restart-nodes", defaultValue = "0.2", description = "part of the nodes that are killed "
+    @Option(names = "--restart-nodes", defaultValue = "0.2",
+        description = "part of the nodes that are killed "
         + "together during the ramp (default ${DEFAULT-VALUE})")
     double restarted;
 
--- a/src/main/java/willowyoke/scale/RealNode.java
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -83,7 +83,8 @@
     static String run(Path root) throws IOException {
         Path deploy = root.resolve(DEPLOY);
         if (!Files.isReadable(deploy)) {
-            throw new Refused("no " + deploy + ": start it in the repository's folder, or name it with --root");
+            throw new Refused("no " + deploy
+                + ": start it in the repository's folder, or name it with --root");
         }
         Matcher run = RUN.matcher(Files.readString(deploy));
         if (!run.find()) {
@@ -133,10 +134,12 @@
     /** CPU so far (us), all threads: the scheduler's own count, as clock ticks are too coarse. */
     double cpuMicros() throws IOException {
         double sum = 0;
-        try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/" + process.pid() + "/task"))) {
+        try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/" + process.pid()
+            + "/task"))) {
             for (Path task : tasks) {
                 try {
-                    sum += Double.parseDouble(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1000;
+                    sum += Double.parseDouble(Files.readString(task.resolve("schedstat"))
+                        .split(" ")[0]) / 1000;
                 } catch (NoSuchFileException e) {
                     // a thread that has just ended
                 }
--- a/src/main/java/willowyoke/scale/RegionsExperiment.java
+++ b/src/main/java/willowyoke/scale/RegionsExperiment.java
@@ -9,7 +9,8 @@
 final class RegionsExperiment extends FleetRun {
     private static final double SETTLED = 8000;
 
-    @Option(names = "--seconds", defaultValue = "10", description = "virtual seconds apart, and together again "
+    @Option(names = "--seconds", defaultValue = "10",
+        description = "virtual seconds apart, and together again "
         + "(default ${DEFAULT-VALUE})")
     int seconds;
 
@@ -35,8 +36,10 @@
         run(fleet, seconds * 1000.0);
         results.add(metric + "_served", "nodes", size,
             (fleet.served() - served) / (double) Math.max(1, fleet.ended() - ended), "share");
-        results.add(metric + "_latency_p99", "nodes", size, fleet.latency.getValueAtPercentile(99) / 1000.0, "ms");
-        results.add(metric + "_counter_calls", "nodes", size, (fleet.counter.calls - calls) / (double) seconds,
+        results.add(metric + "_latency_p99", "nodes", size, fleet.latency.getValueAtPercentile(99) / 1000.0,
+            "ms");
+        results.add(metric + "_counter_calls", "nodes", size, (fleet.counter.calls
+            - calls) / (double) seconds,
             "1/s");
     }
 }
--- a/src/main/java/willowyoke/scale/Results.java
+++ b/src/main/java/willowyoke/scale/Results.java
@@ -29,7 +29,8 @@
     }
 
     void add(String metric, String x, double at, double value, String unit) {
-        rows.computeIfAbsent(new Metric(metric, x, unit), m -> new ArrayList<>()).add(new double[] {at, value});
+        rows.computeIfAbsent(new Metric(metric, x, unit), m -> new ArrayList<>()).add(new double[] {at,
+            value});
         System.out.printf(Locale.ROOT, "%-34s %s=%s: %s %s%n", metric, x, number(at), number(value), unit);
     }
 
@@ -53,7 +54,8 @@
         String text = (head ? "run,commit,metric,unit,x,x_value,value,slope,intercept,residual\n" : "")
             + (csv ? csv() : json());
         Files.writeString(file, text, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
-            append ? StandardOpenOption.APPEND : StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
+            append ? StandardOpenOption.APPEND : StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE);
     }
 
     private String csv() {
--- a/src/main/java/willowyoke/scale/ScaleCli.java
+++ b/src/main/java/willowyoke/scale/ScaleCli.java
@@ -44,7 +44,8 @@
     static final class Quick extends Experiment {
         @Override void measure() throws Exception {
             ModuleExperiment module = new ModuleExperiment();
-            new CommandLine(module).parseArgs("--servers", "10,100,500,2000", "--customers", "100,300,1000,3000",
+            new CommandLine(module).parseArgs("--servers", "10,100,500,2000", "--customers",
+                "100,300,1000,3000",
                 "--seconds", "5", "--point-seconds", "3");
             FleetExperiment fleet = new FleetExperiment();
             new CommandLine(fleet).parseArgs("--nodes", "2,4,8,16", "--seconds", "3");
--- a/src/main/java/willowyoke/scale/Servers.java
+++ b/src/main/java/willowyoke/scale/Servers.java
@@ -47,7 +47,8 @@
 
     /** The entry of a list; startedAt is 0 where the server started long ago. */
     Gateway.Server entry(int server, Gateway.State state, double startedAt) {
-        return new Gateway.Server(names[server], server / CELL, zones[zone(server)], state, "", startedAt, 1, 0);
+        return new Gateway.Server(names[server], server / CELL, zones[zone(server)], state, "", startedAt, 1,
+            0);
     }
 
     /** Every server, up since long ago. */
--- a/src/main/java/willowyoke/scale/Shape.java
+++ b/src/main/java/willowyoke/scale/Shape.java
@@ -4,7 +4,8 @@
 
 /** What a fleet of hollow nodes is like; options of all experiments that have one. */
 final class Shape {
-    @Option(names = "--servers-per-node", defaultValue = "24.4", description = "servers listed, for each node "
+    @Option(names = "--servers-per-node", defaultValue = "24.4",
+        description = "servers listed, for each node "
         + "(default ${DEFAULT-VALUE})")
     double serversPerNode;
 
@@ -64,7 +65,8 @@
     }
 
     void check() {
-        Experiment.require(serversPerNode > 0 && leastServers > 0 && rate > 0 && customersPerNode > 0 && slots > 0
+        Experiment.require(serversPerNode > 0 && leastServers > 0 && rate > 0 && customersPerNode > 0
+            && slots > 0
             && queue >= 0 && service > 0 && counterRate > 0 && counterWay >= 0 && regions > 0,
             "the fleet's shape has to be above 0");
         Experiment.require(zones >= regions, "--regions are made of zones: at most --zones");
--- a/src/main/java/willowyoke/scale/Site.java
+++ b/src/main/java/willowyoke/scale/Site.java
@@ -82,8 +82,9 @@
         if (first == null) {
             return SettingsReader.read(keys(rank, nodes, zones));
         }
-        return new Gateway.Settings(rank, nodes, Servers.zoneName(rank % zones), first.tick(), first.mustAsk(),
-            first.settled(), first.mostUnits(), first.loadFields(), first.classes(), first.plans(),
+        return new Gateway.Settings(rank, nodes, Servers.zoneName(rank % zones), first.tick(),
+            first.mustAsk(), first.settled(), first.mostUnits(), first.loadFields(), first.classes(),
+            first.plans(),
             first.allowed(), first.rules(), first.prices());
     }
 }
--- a/src/main/java/willowyoke/scale/ZoneLossExperiment.java
+++ b/src/main/java/willowyoke/scale/ZoneLossExperiment.java
@@ -16,11 +16,13 @@
     private static final double BACK = 0.99;
     private static final int IN_A_ROW = 3;
 
-    @Option(names = "--seconds", defaultValue = "20", description = "virtual seconds that are watched after the "
+    @Option(names = "--seconds", defaultValue = "20",
+        description = "virtual seconds that are watched after the "
         + "loss, and after the return (default ${DEFAULT-VALUE})")
     int seconds;
 
-    @Option(names = "--quiet", description = "discovery is silent meanwhile: nodes have to see for themselves")
+    @Option(names = "--quiet",
+        description = "discovery is silent meanwhile: nodes have to see for themselves")
     boolean quiet;
 
     @Override void check() {
@@ -58,7 +60,7 @@
             (zoneGot(fleet) - got) / (seconds * 1000 / WINDOW) / Math.max(1, zoneUsual), "share");
     }
 
-    /** Windows of what is served, of all that ends in them: arrivals of a window are too few and too uneven. */
+    /** Windows of what is served, of all that ends in them: arrivals of a window are too uneven. */
     private void watch(Fleet fleet, int size, String what, double usual) {
         double least = 1;
         double back = seconds * 1000.0;
--- a/src/test/java/willowyoke/scale/FleetTest.java
+++ b/src/test/java/willowyoke/scale/FleetTest.java
@@ -85,6 +85,7 @@
             f.nodes[0].count(i, 1, 1000);
         }
         assertEquals(2 * most, f.counter.calls);
-        assertTrue(f.counter.late >= most / 2 && f.counter.late <= most + 2, f.counter.late + " of " + 2 * most);
+        assertTrue(f.counter.late >= most / 2 && f.counter.late <= most + 2, f.counter.late + " of "
+            + 2 * most);
     }
 }
--- a/src/test/java/willowyoke/scale/ScaleCliTest.java
+++ b/src/test/java/willowyoke/scale/ScaleCliTest.java
@@ -13,7 +13,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class ScaleCliTest {
-    private static final String[] SMALL = {"fleet", "--nodes", "2,3,4,5", "--servers-per-node", "3", "--seconds",
+    private static final String[] SMALL = {"fleet", "--nodes", "2,3,4,5", "--servers-per-node", "3",
+        "--seconds",
         "1", "--commit", "abc"};
 
     @TempDir Path folder;
@@ -78,7 +79,8 @@
             assertEquals("0", run(args).get(0));
         }
         List<String> rows = Files.readAllLines(json);
-        assertEquals(rows.subList(0, rows.size() / 2), rows.subList(rows.size() / 2, rows.size()), "one seed");
+        assertEquals(rows.subList(0, rows.size() / 2), rows.subList(rows.size() / 2, rows.size()),
+            "one seed");
         assertTrue(rows.get(0).contains("\"points\":[[2,2],[3,3],[4,4],[5,5]]"), rows.get(0));
         List<String> lines = Files.readAllLines(csv);
         assertEquals(1, lines.stream().filter(l -> l.startsWith("run,")).count());
