--- a/src/test/java/willowyoke/scale/ScaleCliTest.java
+++ b/src/test/java/willowyoke/scale/ScaleCliTest.java
@@ -88,7 +88,8 @@
     }
 
     @Test void timeOverIsToldWithExitCode1() {
-        List<String> told = run("module", "--servers", "2000", "--max-seconds", "1", "--commit", "abc");
+        List<String> told = run("module", "--servers", "20", "--seconds", "100000", "--point-seconds", "1000",
+            "--max-seconds", "1", "--commit", "abc");
         assertEquals("1", told.get(0));
         assertTrue(told.get(told.size() - 1).contains("--max-seconds"), told.toString());
     }
