--- a/src/main/java/willowyoke/scale/RealNode.java
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -72,8 +72,8 @@
             Files.createDirectory(folder.resolve("tmp")).toString()));
         long from = System.nanoTime();
         Process process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly)); // SIGINT ends it too
         RealNode node = new RealNode(process, folder, new InetSocketAddress("127.0.0.1", port));
+        Runtime.getRuntime().addShutdownHook(new Thread(node::kill)); // SIGINT ends it too
         node.whenReady();
         node.readySeconds = (System.nanoTime() - from) / 1e9;
         return node;
@@ -176,6 +176,23 @@
             process.destroyForcibly();
             Thread.currentThread().interrupt();
         }
+        delete();
+    }
+
+    /** At the end of the tool itself: at once, and nothing is left. */
+    private void kill() {
+        try {
+            process.destroyForcibly().waitFor();
+            delete();
+        } catch (IOException | InterruptedException e) {
+            System.err.println("scale: " + folder + " is left");
+        }
+    }
+
+    private void delete() throws IOException {
+        if (!Files.exists(folder)) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
