--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -69,6 +69,12 @@
     /** A server back from the operators is tried between these (ms): gateways must not all come at once. */
     private static final double BACK_FROM = 300;
     private static final double BACK_TO = 3500;
+    /** Many gateways spread this as their budgets would, but so that this many come in the rule's time. */
+    private static final double BACK_TOGETHER = 2;
+    /** A send to a cold server that is due but not used lapses after so many times the rule's own time. */
+    private static final double UNUSED_KEPT = 2;
+    /** About so long (ms) a fleet that shrank is taken for its former size: a lost part comes back sooner. */
+    private static final double UP_KEPT = 60_000;
     /** What was learnt of so many servers that left the set is kept: they come back, as after a release. */
     private static final int REMEMBERED = 256;
     /** A repeat looks at so many servers outside the set at most. */
@@ -98,6 +104,7 @@
     private int misses;
     private long edges;
     private double sentShare = SENT_SHARE, paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
+    private double usualUp;
     private final Set<Customer> active = new LinkedHashSet<>();
     private double window, lineUntil;
     private int callsOut;
@@ -115,7 +122,7 @@
             mean = told.aim() / 8; // until seen: an aim leaves room for a queue, a retry and the way
         }
 
-        /** How long (ms) the client has waited: one that names less than most has the rest of the deadline. */
+        /** How long (ms) the client has waited: one that names less than most has the rest of its time. */
         double waited(double patience) {
             int wait = (int) Math.min(WAITS, Math.max(0, patience) / told.deadline() * WAITS);
             return wait < waits.add(wait) - 1 ? told.deadline() - patience : 0;
@@ -291,6 +298,7 @@
         if (!h.cordoned && list.isUp(h.id) && working.covers(h.id)) {
             if (members.put(h.id, h) == null) {
                 act.keep(h.told);
+                usualUp = Math.max(usualUp, members.size());
             }
         } else {
             members.remove(h.id);
@@ -357,7 +365,8 @@
             asNew(h);
             h.trial = h.wasDead = false;
             cold(h, now);
-            h.backAt = now + BACK_FROM + (BACK_TO - BACK_FROM) * random.nextDouble();
+            double apart = Math.min(set.nodes() * set.rules().overloadFor() / BACK_TOGETHER, 1 / coldRate(h));
+            h.backAt = now + BACK_FROM + Math.max(BACK_TO - BACK_FROM, apart) * random.nextDouble();
             at(Kind.RETRY, h.backAt, null);
         }
     }
@@ -525,6 +534,7 @@
         outMean += (outInPeriod / SUBPERIOD - outMean) * FAST;
         outInPeriod = 0;
         fit();
+        usualUp += (members.size() - usualUp) * SUBPERIOD / UP_KEPT;
         sentShare += askRate > 0 ? (Math.min(1, sendRate / askRate) - sentShare) * SLOW : 0;
         ahead.clear();
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
@@ -832,12 +842,7 @@
         return underCeiling(c, r) && slot(c);
     }
 
-    /**
-     * With no call to be had a request goes by belief, where being right earns more: by the store as last
-     * read, less what was sent here since, times what all send for one of ours; and by what was covered then.
-     * Nothing that the rate filled since is counted, as others may have had it, and half a store is left to
-     * those that believe the same. Where there is no reading to go by a call is waited for first.
-     */
+    /** With no call to be had, by the store as last read; half is left to those that believe the same. */
     private boolean onBelief(Customer c, Req r) {
         return !alone(c) && !c.asking && !mayCall() && c.plan.ceilingRate() <= 0 && !r.told.again()
             && believed(c)
@@ -942,7 +947,7 @@
         return r.type.told.staysInGroup() ? orOutside(r, best) : best;
     }
 
-    /** A repeat that must stay in a zone or a cell, of which the set has no other to give, takes one outside. */
+    /** A repeat that must stay in a zone or cell, of which the set has no other, takes one outside. */
     private Host orOutside(Req r, Host found) {
         Optional<Attempt> ran = r.attempts.stream().filter(Attempt::mayHaveRun).findFirst();
         if (ran.isEmpty() || found != null && r.attempts.stream().noneMatch(a -> a.host == found)) {
@@ -1063,7 +1068,7 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
-        h.backAt = now >= h.backAt ? Double.MAX_VALUE : h.backAt;
+        h.backAt = Double.MAX_VALUE;
         sentInPeriod++;
         outInPeriod += r.type.mean;
         paceCredit--;
@@ -1124,22 +1129,23 @@
             && (warmth(h) >= 1 || now >= h.backAt || coldBudget(h) >= 1);
     }
 
-    /**
-     * This gateway's part of what a cold server can bear: its mean to a warm one, scaled to what this one can
-     * do. It starts anywhere under one send, as one send of each gateway at once would be far too much. The
-     * mean is by what is asked: with most servers cold or away what is sent falls by this very budget, and
-     * the budget with it, until nearly all is refused.
-     */
+    /** Sends due to a cold server; what is not used lapses, as all gateways would need it together. */
     private double coldBudget(Host h) {
-        double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double mean = Math.max(sendRate, askRate * sentShare) / Math.max(1, members.size());
-        double rate = mean / 1000 * warmth(h) * most;
-        h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
-            h.coldCredit + rate * (now - h.coldAt));
+        double rate = coldRate(h);
+        h.coldCredit += rate * (now - h.coldAt);
+        double kept = rate * UNUSED_KEPT * set.rules().overloadFor();
+        h.coldCredit -= Math.max(0, Math.floor(h.coldCredit - kept));
         h.coldAt = now;
         return h.coldCredit;
     }
 
+    /** This gateway's part of what a cold server bears, a ms: by what is asked, over the usual servers. */
+    private double coldRate(Host h) {
+        double most = Math.max(1, set.rules().overloadFactor() / 2);
+        double mean = Math.max(sendRate, Math.min(askRate * sentShare, paceRate)) / Math.max(1, usualUp);
+        return mean / 1000 * warmth(h) * most;
+    }
+
     private void cold(Host h, double since) {
         if (warmth(h) >= 1) {
             h.coldCredit = random.nextDouble();
