Capacity page: each role at the size in two years, reckoned from files

Cause: nothing said what 8,200 nodes before 200,000 place servers ask of each part, nor what of it is over budget.

Change: docs/CAPACITY.md, its tables printed by CapacityTables from docs/capacity/model.json (sizes, budgets, assumptions, rows, the mechanism that carries each) and docs/capacity/measurements.json (runs: none yet). A figure is a sum of products of sizes, bytes of sample messages in the protocol's forms, constants of the program, slopes of named runs, and assumptions, called so; what no run has given says "not measured". A line through the smaller sizes of a run foretells its largest one.

Tests: CapacityTablesTest, 25, seen to fail where a figure in the page or a constant in the model is another, a missing run counts as a number, a size past its run is not told, the left-out size is in the fit, and a bad argument ends with another code.

--- /dev/null
+++ b/src/main/java/willowyoke/scale/capacity/Measurements.java
@@ -0,0 +1,110 @@
+package willowyoke.scale.capacity;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** What runs have measured: series of points, each with its run, commit and straight-line fit. */
+final class Measurements {
+    /** A line through two points fits them always, and tells nothing. */
+    private static final int LEAST_POINTS = 3;
+
+    /** A straight line through points. */
+    record Line(double slope, double intercept) {
+        double at(double x) {
+            return intercept + slope * x;
+        }
+    }
+
+    /** One series: y of a metric over x, in a unit; no fit (null) where the run had too few points. */
+    record Series(String run, String commit, String metric, String x, List<double[]> points, Line fit,
+        double residual, String unit) {
+
+        double largest() {
+            return points.get(points.size() - 1)[0];
+        }
+
+        double smallest() {
+            return points.get(0)[0];
+        }
+
+        /** The mean of the points at just this x; NaN where there is none. */
+        double pointAt(double at) {
+            return points.stream().filter(p -> p[0] == at).mapToDouble(p -> p[1]).average()
+                .orElse(Double.NaN);
+        }
+    }
+
+    /** The largest size, predicted by a line through the other points and as measured. */
+    record Check(Series series, double x, double predicted, double measured) {
+        double deviation() {
+            return (predicted - measured) / measured;
+        }
+    }
+
+    private final List<Series> all = new ArrayList<>();
+
+    private Measurements() { }
+
+    /** The rows of a file: one list of them, or one a line. */
+    static Measurements read(Path file) {
+        Measurements read = new Measurements();
+        List<Doc> rows = Doc.rows(file);
+        for (Doc row : rows.size() == 1 && rows.get(0).isList() ? Doc.read(file).list() : rows) {
+            read.all.add(series(row));
+        }
+        return read;
+    }
+
+    private static Series series(Doc row) {
+        List<double[]> points = new ArrayList<>();
+        for (Doc point : row.get("points").list()) {
+            List<Doc> xy = point.list();
+            if (xy.size() != 2) {
+                throw new BadInput(point.at() + ": two numbers expected");
+            }
+            points.add(new double[] {xy.get(0).number(), xy.get(1).number()});
+        }
+        if (points.isEmpty()) {
+            throw new BadInput(row.at() + ": points: none");
+        }
+        points.sort(Comparator.comparingDouble(p -> p[0]));
+        Doc fit = row.get("fit");
+        return new Series(row.get("run").text(), row.get("commit").text(), row.get("metric").text(),
+            row.get("x").text(), points,
+            row.has("fit") ? new Line(fit.get("slope").number(), fit.get("intercept").number()) : null,
+            row.has("fit") ? fit.get("residual").number() : 0, row.get("unit").text());
+    }
+
+    List<Series> all() {
+        return all;
+    }
+
+    /** The series of a metric over x, the last one where several runs gave it; null where none did. */
+    Series find(String metric, String x) {
+        Series found = null;
+        for (Series s : all) {
+            found = s.metric.equals(metric) && s.x.equals(x) ? s : found;
+        }
+        return found;
+    }
+
+    /** Leaves the largest size out of a fit of its own and predicts it; null with too few other points. */
+    static Check leaveLargestOut(Series s) {
+        List<double[]> rest = s.points.stream().filter(p -> p[0] < s.largest()).toList();
+        if (rest.stream().mapToDouble(p -> p[0]).distinct().count() < LEAST_POINTS) {
+            return null;
+        }
+        return new Check(s, s.largest(), line(rest).at(s.largest()), s.pointAt(s.largest()));
+    }
+
+    /** Least squares. */
+    private static Line line(List<double[]> points) {
+        double x = points.stream().mapToDouble(p -> p[0]).average().orElse(0);
+        double y = points.stream().mapToDouble(p -> p[1]).average().orElse(0);
+        double xy = points.stream().mapToDouble(p -> (p[0] - x) * (p[1] - y)).sum();
+        double xx = points.stream().mapToDouble(p -> (p[0] - x) * (p[0] - x)).sum();
+        return new Line(xy / xx, y - xy / xx * x);
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/capacity/Model.java
@@ -0,0 +1,226 @@
+package willowyoke.scale.capacity;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import willowyoke.scale.capacity.Measurements.Series;
+
+/**
+ * The sizes, budgets, assumptions and rows of the page, read from its file and reckoned with what has been
+ * measured. A formula is a sum of products over names, numbers, {@code form.NAME} (bytes of a sample
+ * message), {@code metric[x]} (a slope) and {@code metric[x=NAME]} (the fit at that size), all in bytes and
+ * seconds.
+ */
+final class Model {
+    private static final Set<String> KINDS = Set.of("size", "budget", "assumption", "code", "derived");
+    private static final Set<String> STATES = Set.of("present", "made here", "missing");
+    private static final String FORM = "form.";
+    private static final Map<String, Double> UNITS = Map.of("ns", 1e-9, "us", 1e-6, "ms", 1e-3, "KB", 1e3,
+        "MB", 1e6, "GB", 1e9);
+
+    /** A named number: what it is, and in which words it was given. */
+    record Quantity(String name, String kind, String formula, Figure figure, String unit,
+        String text) { }
+
+    /** What carries a row: present, made here or missing, in the order of what it blocks. */
+    record Mechanism(String name, String state, String text) { }
+
+    /** One figure of the page; budget is null where there is none. */
+    record Row(String role, String when, String what, String formula, Figure figure, String unit,
+        Figure budget, Mechanism mechanism) {
+
+        /** How often the budget goes into the figure; NaN where one of them is not there. */
+        double ratio() {
+            return budget == null ? Double.NaN : figure.value() / budget.value();
+        }
+
+        boolean over() {
+            return ratio() > 1;
+        }
+    }
+
+    /** A figure of a run that a line through its smaller sizes has to foretell. */
+    record CrossCheck(String metric, String x, String text) { }
+
+    private final Map<String, Quantity> quantities = new LinkedHashMap<>();
+    private final Map<String, Mechanism> mechanisms = new LinkedHashMap<>();
+    private final Map<String, String> roles = new LinkedHashMap<>();
+    private final List<Row> rows = new ArrayList<>();
+    private final List<CrossCheck> checks = new ArrayList<>();
+    private final Map<String, String> forms = Messages.samples();
+    private final Measurements measurements;
+
+    private Model(Measurements measurements) {
+        this.measurements = measurements;
+    }
+
+    static Model read(Path file, Measurements measurements) {
+        Model model = new Model(measurements);
+        Doc root = Doc.read(file);
+        root.get("quantities").list().forEach(model::quantity);
+        root.get("mechanisms").list().forEach(model::mechanism);
+        root.get("roles").list().forEach(r -> model.roles.put(r.get("name").text(), r.get("text").text()));
+        root.get("rows").list().forEach(model::row);
+        root.get("cross_checks").list().forEach(c -> model.checks.add(
+            new CrossCheck(c.get("metric").text(), c.get("x").text(), c.get("text").text())));
+        for (Mechanism m : model.mechanisms.values()) {
+            if (model.rows.stream().noneMatch(r -> r.mechanism == m)) {
+                throw new BadInput(file + ": mechanism " + m.name + " carries no row");
+            }
+        }
+        return model;
+    }
+
+    Map<String, Quantity> quantities() {
+        return quantities;
+    }
+
+    Map<String, Mechanism> mechanisms() {
+        return mechanisms;
+    }
+
+    Map<String, String> roles() {
+        return roles;
+    }
+
+    List<Row> rows() {
+        return rows;
+    }
+
+    List<CrossCheck> checks() {
+        return checks;
+    }
+
+    Map<String, String> forms() {
+        return forms;
+    }
+
+    Measurements measurements() {
+        return measurements;
+    }
+
+    private void quantity(Doc d) {
+        String name = d.get("name").text();
+        String kind = oneOf(d.get("kind"), KINDS);
+        Doc is = d.get("is");
+        Figure figure;
+        String formula = "";
+        if (kind.equals("derived")) {
+            formula = is.text();
+            figure = reckon(formula, is.at());
+        } else {
+            boolean given = kind.equals("size") || kind.equals("budget");
+            figure = given ? Figure.of(is.number()) : Figure.of(is.number(), kind + " " + name);
+        }
+        Quantity before = quantities.put(name, new Quantity(name, kind, formula, figure,
+            d.get("unit").text(""), d.get("text").text()));
+        if (before != null) {
+            throw new BadInput(d.at() + ": " + name + " is there already");
+        }
+    }
+
+    private void mechanism(Doc d) {
+        String name = d.get("name").text();
+        mechanisms.put(name, new Mechanism(name, oneOf(d.get("state"), STATES), d.get("text").text()));
+    }
+
+    private void row(Doc d) {
+        String role = oneOf(d.get("role"), roles.keySet());
+        Mechanism carrier = mechanisms.get(oneOf(d.get("mechanism"), mechanisms.keySet()));
+        Doc is = d.get("is");
+        Doc budget = d.get("budget");
+        rows.add(new Row(role, d.get("when").text(), d.get("what").text(), is.text(),
+            reckon(is.text(), is.at()), d.get("unit").text(""),
+            d.has("budget") ? reckon(budget.text(), budget.at()) : null, carrier));
+    }
+
+    private static String oneOf(Doc d, Set<String> allowed) {
+        if (!allowed.contains(d.text())) {
+            throw new BadInput(d.at() + ": '" + d.text() + "' is none of "
+                + allowed.stream().sorted().toList());
+        }
+        return d.text();
+    }
+
+    private Figure reckon(String formula, String at) {
+        String[] words = formula.trim().split("\\s+");
+        Figure sum = Figure.of(0);
+        Figure product = term(words[0], at);
+        double sign = 1;
+        if (words.length % 2 == 0) {
+            throw new BadInput(at + ": a name is missing in '" + formula + "'");
+        }
+        for (int i = 1; i < words.length; i += 2) {
+            Figure next = term(words[i + 1], at);
+            switch (words[i]) {
+                case "*" -> product = product.with(product.value() * next.value(), next);
+                case "/" -> product = product.with(product.value() / next.value(), next);
+                case "+", "-" -> {
+                    sum = sum.with(sum.value() + sign * product.value(), product);
+                    sign = words[i].equals("+") ? 1 : -1;
+                    product = next;
+                }
+                default -> throw new BadInput(at + ": one of + - * / expected, found '" + words[i] + "'");
+            }
+        }
+        return sum.with(sum.value() + sign * product.value(), product);
+    }
+
+    private Figure term(String word, String at) {
+        if (word.endsWith("]") && word.contains("[")) {
+            return measured(word, at);
+        }
+        if (word.startsWith(FORM)) {
+            String sample = forms.get(word.substring(FORM.length()));
+            if (sample == null) {
+                throw new BadInput(at + ": no message form '" + word + "'");
+            }
+            return Figure.of(Messages.bytes(sample), "form " + word.substring(FORM.length()));
+        }
+        Quantity known = quantities.get(word);
+        if (known != null) {
+            return known.figure;
+        }
+        try {
+            return Figure.of(Double.parseDouble(word));
+        } catch (NumberFormatException e) {
+            throw new BadInput(at + ": '" + word + "' is not known here");
+        }
+    }
+
+    /** What a run gave; no number, and told so, where none did. */
+    private Figure measured(String word, String at) {
+        String metric = word.substring(0, word.indexOf('['));
+        String[] x = word.substring(word.indexOf('[') + 1, word.length() - 1).split("=", 2);
+        Figure size = x.length == 1 ? Figure.of(0) : term(x[1], at);
+        Series found = measurements.find(metric, x[0]);
+        if (found == null) {
+            String none = "**no run yet** of " + metric + " over " + x[0];
+            return Figure.of(Double.NaN, none).with(Double.NaN, size);
+        }
+        double unit = UNITS.getOrDefault(found.unit().split("/")[0], 1.0);
+        String run = "run `" + found.run() + "`: ";
+        if (found.fit() == null) { // a point at just this size is as good as a line
+            double point = x.length == 1 ? Double.NaN : found.pointAt(size.value()) * unit;
+            String grounds = run + (Double.isNaN(point) ? "**too few points**" : "a point");
+            return Figure.of(point, grounds).with(point, size);
+        }
+        double slope = found.fit().slope();
+        run += Figure.number(slope) + " " + found.unit() + " x " + x[0];
+        if (x.length == 1) {
+            return Figure.of(slope * unit, run);
+        }
+        run += " + " + Figure.number(found.fit().intercept()) + range(found, size.value());
+        double there = found.fit().at(size.value()) * unit;
+        return Figure.of(there, run).with(there, size);
+    }
+
+    /** A size that no run has seen is told as such. */
+    private static String range(Series found, double size) {
+        return size > found.largest() ? ", **beyond** its largest, " + Figure.number(found.largest())
+            : size < found.smallest() ? ", **below** its smallest, " + Figure.number(found.smallest()) : "";
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/capacity/Tables.java
@@ -0,0 +1,170 @@
+package willowyoke.scale.capacity;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import willowyoke.scale.capacity.Measurements.Check;
+import willowyoke.scale.capacity.Measurements.Series;
+import willowyoke.scale.capacity.Model.Mechanism;
+import willowyoke.scale.capacity.Model.Quantity;
+import willowyoke.scale.capacity.Model.Row;
+
+/** The page's tables as Markdown, each under its name. */
+final class Tables {
+    private static final String NONE = "-";
+    private final Model model;
+
+    private Tables(Model model) {
+        this.model = model;
+    }
+
+    /** Name to text, in the order of the page; each text ends with a line break. */
+    static Map<String, String> of(Model model) {
+        Tables t = new Tables(model);
+        Map<String, String> all = new LinkedHashMap<>();
+        all.put("over", t.over());
+        all.put("missing", t.mechanisms(m -> m.state().equals("missing")));
+        all.put("carriers", t.mechanisms(m -> !m.state().equals("missing")));
+        model.roles().keySet().forEach(role -> all.put(role, t.role(role)));
+        all.put("cross-check", t.crossChecks());
+        all.put("measurements", t.measurements());
+        for (String kind : List.of("size", "budget", "assumption", "code", "derived")) {
+            all.put(kind, t.quantities(kind));
+        }
+        all.put("forms", t.forms());
+        return all;
+    }
+
+    private String role(String role) {
+        StringBuilder table = head("when", "what", "figure", "budget", "", "reckoned as", "rests on",
+            "carried by");
+        model.rows().stream().filter(r -> r.role().equals(role)).forEach(r -> line(table, r.when(), r.what(),
+            r.figure().text(r.unit()), r.budget() == null ? NONE : r.budget().text(r.unit()), verdict(r),
+            "`" + r.formula() + "`", rests(r.figure()), r.mechanism().name() + ": " + r.mechanism().state()));
+        return table.toString();
+    }
+
+    private static String verdict(Row r) {
+        double ratio = r.ratio();
+        if (r.budget() == null) {
+            return NONE;
+        }
+        if (Double.isNaN(ratio)) {
+            return Figure.NOT_MEASURED;
+        }
+        return r.over() ? "**OVER, " + Figure.number(ratio) + " x**"
+            : "within, " + Figure.percent(ratio);
+    }
+
+    private static String rests(Figure figure) {
+        return figure.restsOn().isEmpty() ? "sizes alone"
+            : figure.restsOn().stream().map(Tables::marked).collect(Collectors.joining("; "));
+    }
+
+    private static String marked(String ground) {
+        return ground.startsWith("assumption ") ? "*assumption* " + ground.substring("assumption ".length())
+            : ground;
+    }
+
+    /** The worst first; like ones in the order of the rows. */
+    private String over() {
+        StringBuilder table = head("over", "role", "when", "what", "figure", "budget", "carried by");
+        model.rows().stream().filter(Row::over).sorted(Comparator.comparingDouble(Row::ratio).reversed())
+            .forEach(r -> line(table, Figure.number(r.ratio()) + " x", r.role(), r.when(), r.what(),
+                r.figure().text(r.unit()), r.budget().text(r.unit()),
+                r.mechanism().name() + ": " + r.mechanism().state()));
+        return table.toString();
+    }
+
+    private String mechanisms(Predicate<Mechanism> which) {
+        int[] place = {0};
+        StringBuilder table = head("", "mechanism", "state", "what it is", "rows", "over", "not measured");
+        model.mechanisms().values().stream().filter(which).forEach(m -> {
+            List<Row> rows = model.rows().stream().filter(r -> r.mechanism() == m).toList();
+            line(table, Integer.toString(++place[0]), m.name(), m.state(), m.text(),
+                Integer.toString(rows.size()), Long.toString(rows.stream().filter(Row::over).count()),
+                Long.toString(rows.stream().filter(r -> !r.figure().measured()).count()));
+        });
+        return table.toString();
+    }
+
+    private String crossChecks() {
+        StringBuilder table = head("figure", "size left out", "foretold by the smaller ones",
+            "measured there", "deviation", "run");
+        model.checks().forEach(c -> {
+            Series series = model.measurements().find(c.metric(), c.x());
+            Check check = series == null ? null : Measurements.leaveLargestOut(series);
+            if (check == null) {
+                String none = Figure.NOT_MEASURED;
+                line(table, c.text(), NONE, none, none, none,
+                    series == null ? "**no run yet**" : "too few points in `" + series.run() + "`");
+            } else {
+                line(table, c.text(), c.x() + " = " + Figure.number(check.x()),
+                    amount(check.predicted(), series), amount(check.measured(), series),
+                    Figure.percent(check.deviation()), "`" + series.run() + "`");
+            }
+        });
+        return table.toString();
+    }
+
+    private static String amount(double value, Series series) {
+        return (Figure.number(value) + " " + series.unit()).trim();
+    }
+
+    private String measurements() {
+        StringBuilder table = head("metric", "over", "points", "from", "to", "slope", "intercept", "residual",
+            "unit", "run", "commit");
+        for (Series s : model.measurements().all()) {
+            String[] fit = s.fit() == null ? new String[] {NONE, NONE, NONE} : new String[] {
+                Figure.number(s.fit().slope()), Figure.number(s.fit().intercept()),
+                Figure.number(s.residual())};
+            line(table, s.metric(), s.x(), Integer.toString(s.points().size()), Figure.number(s.smallest()),
+                Figure.number(s.largest()), fit[0], fit[1], fit[2], s.unit(), "`" + s.run() + "`",
+                s.commit());
+        }
+        return model.measurements().all().isEmpty() ? "No run has been taken in yet.\n" : table.toString();
+    }
+
+    private String quantities(String kind) {
+        boolean derived = kind.equals("derived");
+        StringBuilder table = derived ? head("name", "value", "reckoned as", "rests on", "what it is")
+            : head("name", "value", "what it is");
+        for (Quantity q : model.quantities().values()) {
+            if (q.kind().equals(kind) && derived) {
+                line(table, q.name(), q.figure().text(q.unit()), "`" + q.formula() + "`", rests(q.figure()),
+                    q.text());
+            } else if (q.kind().equals(kind)) {
+                line(table, q.name(), q.figure().text(q.unit()), q.text());
+            }
+        }
+        return table.toString();
+    }
+
+    private String forms() {
+        StringBuilder table = head("form", "bytes", "sample");
+        model.forms().forEach((name, sample) -> line(table, name, Integer.toString(Messages.bytes(sample)),
+            "`" + shown(sample) + "`"));
+        return table.toString();
+    }
+
+    private static String shown(String sample) {
+        String one = sample.replaceAll("x{32,}", "x..x").replace("\r", "\\r").replace("\n", "\\n");
+        return one.length() > 130 ? one.substring(0, 130) + "..." : one;
+    }
+
+    private static StringBuilder head(String... names) {
+        StringBuilder table = new StringBuilder();
+        line(table, names);
+        return table.append("|").append(" --- |".repeat(names.length)).append('\n');
+    }
+
+    private static void line(StringBuilder table, String... cells) {
+        for (String cell : cells) {
+            table.append("| ").append(cell.replace("|", "\\|")).append(cell.isEmpty() ? "" : " ");
+        }
+        table.append("|\n");
+    }
+}
