--- a/src/main/java/willowyoke/scale/capacity/Measurements.java
+++ b/src/main/java/willowyoke/scale/capacity/Measurements.java
@@ -81,6 +81,20 @@
         return all;
     }
 
+    /** A run's command and commit, in their order; the page calls them by their place. */
+    List<String> runs() {
+        return all.stream().map(Measurements::run).distinct().toList();
+    }
+
+    /** What the page calls the run of a series. */
+    String label(Series s) {
+        return "run " + (runs().indexOf(run(s)) + 1);
+    }
+
+    private static String run(Series s) {
+        return "`" + s.run + "` at " + s.commit;
+    }
+
     /** The series of a metric over x, the last one where several runs gave it; null where none did. */
     Series find(String metric, String x) {
         Series found = null;
--- a/src/main/java/willowyoke/scale/capacity/Model.java
+++ b/src/main/java/willowyoke/scale/capacity/Model.java
@@ -42,8 +42,11 @@
         }
     }
 
-    /** A figure of a run that a line through its smaller sizes has to foretell. */
-    record CrossCheck(String metric, String x, String text) { }
+    /**
+     * A figure of a run that has to be foretold: by a line through its smaller sizes, or where a formula is
+     * given (else null) by that, at one size.
+     */
+    record CrossCheck(String metric, String x, String text, String formula, Figure foretold, double at) { }
 
     private final Map<String, Quantity> quantities = new LinkedHashMap<>();
     private final Map<String, Mechanism> mechanisms = new LinkedHashMap<>();
@@ -64,8 +67,7 @@
         root.get("mechanisms").list().forEach(model::mechanism);
         root.get("roles").list().forEach(r -> model.roles.put(r.get("name").text(), r.get("text").text()));
         root.get("rows").list().forEach(model::row);
-        root.get("cross_checks").list().forEach(c -> model.checks.add(
-            new CrossCheck(c.get("metric").text(), c.get("x").text(), c.get("text").text())));
+        root.get("cross_checks").list().forEach(model::check);
         for (Mechanism m : model.mechanisms.values()) {
             if (model.rows.stream().noneMatch(r -> r.mechanism == m)) {
                 throw new BadInput(file + ": mechanism " + m.name + " carries no row");
@@ -137,6 +139,14 @@
             d.has("budget") ? reckon(budget.text(), budget.at()) : null, carrier));
     }
 
+    private void check(Doc d) {
+        Doc is = d.get("is");
+        boolean given = d.has("is");
+        checks.add(new CrossCheck(d.get("metric").text(), d.get("x").text(), d.get("text").text(),
+            given ? is.text() : null, given ? reckon(is.text(), is.at()) : null,
+            given ? d.get("at").number() : 0));
+    }
+
     private static String oneOf(Doc d, Set<String> allowed) {
         if (!allowed.contains(d.text())) {
             throw new BadInput(d.at() + ": '" + d.text() + "' is none of "
@@ -201,8 +211,8 @@
             String none = "**no run yet** of " + metric + " over " + x[0];
             return Figure.of(Double.NaN, none).with(Double.NaN, size);
         }
-        double unit = UNITS.getOrDefault(found.unit().split("/")[0], 1.0);
-        String run = "run `" + found.run() + "`: ";
+        double unit = scale(found);
+        String run = measurements.label(found) + ": ";
         if (found.fit() == null) { // a point at just this size is as good as a line
             double point = x.length == 1 ? Double.NaN : found.pointAt(size.value()) * unit;
             String grounds = run + (Double.isNaN(point) ? "**too few points**" : "a point");
@@ -213,11 +223,18 @@
         if (x.length == 1) {
             return Figure.of(slope * unit, run);
         }
-        run += " + " + Figure.number(found.fit().intercept()) + range(found, size.value());
+        double intercept = found.fit().intercept();
+        run += (intercept < 0 ? " - " : " + ") + Figure.number(Math.abs(intercept));
+        run += range(found, size.value());
         double there = found.fit().at(size.value()) * unit;
         return Figure.of(there, run).with(there, size);
     }
 
+    /** A run's unit in bytes or seconds. */
+    static double scale(Series series) {
+        return UNITS.getOrDefault(series.unit().split("/")[0], 1.0);
+    }
+
     /** A size that no run has seen is told as such. */
     private static String range(Series found, double size) {
         return size > found.largest() ? ", **beyond** its largest, " + Figure.number(found.largest())
--- a/src/main/java/willowyoke/scale/capacity/Tables.java
+++ b/src/main/java/willowyoke/scale/capacity/Tables.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import willowyoke.scale.capacity.Measurements.Check;
 import willowyoke.scale.capacity.Measurements.Series;
+import willowyoke.scale.capacity.Model.CrossCheck;
 import willowyoke.scale.capacity.Model.Mechanism;
 import willowyoke.scale.capacity.Model.Quantity;
 import willowyoke.scale.capacity.Model.Row;
@@ -15,6 +17,7 @@
 /** The page's tables as Markdown, each under its name. */
 final class Tables {
     private static final String NONE = "-";
+    private static final String ASSUMED = "assumption ";
     private final Model model;
 
     private Tables(Model model) {
@@ -30,6 +33,7 @@
         all.put("carriers", t.mechanisms(m -> !m.state().equals("missing")));
         model.roles().keySet().forEach(role -> all.put(role, t.role(role)));
         all.put("cross-check", t.crossChecks());
+        all.put("runs", t.runs());
         all.put("measurements", t.measurements());
         for (String kind : List.of("size", "budget", "assumption", "code", "derived")) {
             all.put(kind, t.quantities(kind));
@@ -60,21 +64,25 @@
     }
 
     private static String rests(Figure figure) {
-        return figure.restsOn().isEmpty() ? "sizes alone"
-            : figure.restsOn().stream().map(Tables::marked).collect(Collectors.joining("; "));
+        return figure.restsOn().isEmpty() ? "sizes alone" : figure.restsOn().stream()
+            .map(g -> g.startsWith(ASSUMED) ? "*assumption* " + g.substring(ASSUMED.length()) : g)
+            .collect(Collectors.joining("; "));
     }
 
-    private static String marked(String ground) {
-        return ground.startsWith("assumption ") ? "*assumption* " + ground.substring("assumption ".length())
-            : ground;
+    /** The assumptions behind a figure and its budget. */
+    private static String assumed(Row r) {
+        return Stream.of(r.figure(), r.budget()).flatMap(f -> f.restsOn().stream())
+            .filter(g -> g.startsWith(ASSUMED)).map(g -> "*" + g.substring(ASSUMED.length()) + "*").distinct()
+            .collect(Collectors.joining(", "));
     }
 
     /** The worst first; like ones in the order of the rows. */
     private String over() {
-        StringBuilder table = head("over", "role", "when", "what", "figure", "budget", "carried by");
+        StringBuilder table = head("over", "role", "when", "what", "figure", "budget", "assuming",
+            "carried by");
         model.rows().stream().filter(Row::over).sorted(Comparator.comparingDouble(Row::ratio).reversed())
             .forEach(r -> line(table, Figure.number(r.ratio()) + " x", r.role(), r.when(), r.what(),
-                r.figure().text(r.unit()), r.budget().text(r.unit()),
+                r.figure().text(r.unit()), r.budget().text(r.unit()), assumed(r),
                 r.mechanism().name() + ": " + r.mechanism().state()));
         return table.toString();
     }
@@ -92,40 +100,56 @@
     }
 
     private String crossChecks() {
-        StringBuilder table = head("figure", "size left out", "foretold by the smaller ones",
-            "measured there", "deviation", "run");
-        model.checks().forEach(c -> {
+        StringBuilder table = head("figure", "size left out", "foretold", "measured there", "deviation",
+            "foretold by", "run");
+        for (CrossCheck c : model.checks()) {
             Series series = model.measurements().find(c.metric(), c.x());
-            Check check = series == null ? null : Measurements.leaveLargestOut(series);
-            if (check == null) {
+            Check check = series == null ? null : c.formula() == null ? Measurements.leaveLargestOut(series)
+                : new Check(series, c.at(), c.foretold().value() / Model.scale(series),
+                    series.pointAt(c.at()));
+            String by = c.formula() == null ? "the smaller sizes" : "`" + c.formula() + "`";
+            if (check == null || Double.isNaN(check.deviation())) {
                 String none = Figure.NOT_MEASURED;
-                line(table, c.text(), NONE, none, none, none,
-                    series == null ? "**no run yet**" : "too few points in `" + series.run() + "`");
+                line(table, c.text(), NONE, none, none, none, by,
+                    series == null ? "**no run yet**" : "no such point in " + label(series));
             } else {
                 line(table, c.text(), c.x() + " = " + Figure.number(check.x()),
                     amount(check.predicted(), series), amount(check.measured(), series),
-                    Figure.percent(check.deviation()), "`" + series.run() + "`");
+                    Figure.percent(check.deviation()), by, label(series));
             }
-        });
+        }
         return table.toString();
     }
 
+    private String label(Series series) {
+        return model.measurements().label(series);
+    }
+
+    private String runs() {
+        StringBuilder table = head("", "command and commit");
+        List<String> runs = model.measurements().runs();
+        for (int i = 0; i < runs.size(); i++) {
+            line(table, "run " + (i + 1), runs.get(i));
+        }
+        return runs.isEmpty() ? "No run has been taken in yet.\n" : table.toString();
+    }
+
     private static String amount(double value, Series series) {
         return (Figure.number(value) + " " + series.unit()).trim();
     }
 
     private String measurements() {
         StringBuilder table = head("metric", "over", "points", "from", "to", "slope", "intercept", "residual",
-            "unit", "run", "commit");
+            "unit", "run");
         for (Series s : model.measurements().all()) {
             String[] fit = s.fit() == null ? new String[] {NONE, NONE, NONE} : new String[] {
                 Figure.number(s.fit().slope()), Figure.number(s.fit().intercept()),
                 Figure.number(s.residual())};
             line(table, s.metric(), s.x(), Integer.toString(s.points().size()), Figure.number(s.smallest()),
-                Figure.number(s.largest()), fit[0], fit[1], fit[2], s.unit(), "`" + s.run() + "`",
-                s.commit());
+                Figure.number(s.largest()), fit[0], fit[1], fit[2], s.unit(),
+                label(s));
         }
-        return model.measurements().all().isEmpty() ? "No run has been taken in yet.\n" : table.toString();
+        return table.toString();
     }
 
     private String quantities(String kind) {
--- a/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
+++ b/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
@@ -86,9 +86,9 @@
 
     @Test void aFigureIsSlopeTimesSizeWithItsRun() {
         fixture("node");
-        assertEquals("|now|beyond|50 ms|2.6 ms|**OVER, 19.2 x**|`m.cpu[listed=servers]`|run `module --seed 1`: "
+        assertEquals("|now|beyond|50 ms|2.6 ms|**OVER, 19.2 x**|`m.cpu[listed=servers]`|run 2: "
             + "0.5 us x listed + 20, **beyond** its largest, 2,000|choice: missing", line("beyond"));
-        assertEquals("|now|inside|270 us|2.6 ms|within, 10.4%|`m.cpu[listed=small]`|run `module --seed 1`: "
+        assertEquals("|now|inside|270 us|2.6 ms|within, 10.4%|`m.cpu[listed=small]`|run 2: "
             + "0.5 us x listed + 20|choice: missing", line("inside"));
         assertTrue(line("carried on").startsWith("|now|carried on|5 cores|1 core|**OVER, 5 x**|"));
         assertTrue(line("slope").startsWith("|now|slope|50 ms|-|-|"));
@@ -98,8 +98,8 @@
 
     @Test void whatWasNotMeasuredIsNoNumber() {
         fixture("node");
-        assertEquals("|now|none|not measured|500 B|not measured|`2 * none[x=small] + 1`|**no run yet** of none "
-            + "over x|client: present", line("none"));
+        assertEquals("|now|none|not measured|500 B|not measured|`2 * none[x=small] + 1`|"
+            + "**no run yet** of none over x|client: present", line("none"));
         assertTrue(line("no line").startsWith("|now|no line|not measured|-|-|"), line("no line"));
         fixture("over");
         assertFalse(out.contains("| none |"));
@@ -114,9 +114,12 @@
     /** 10, 200 and 1,000 lie on 0.6 x + 20. */
     @Test void theLargestSizeIsForetoldByTheOthers() {
         fixture("cross-check");
-        assertEquals("|CPU|listed = 2,000|1,220 us|1,100 us|10.9%|`module --seed 1`", line("CPU"));
-        assertEquals("|few|-|not measured|not measured|not measured|too few points in `few`", line("few"));
-        assertEquals("|none|-|not measured|not measured|not measured|**no run yet**", line("none"));
+        assertEquals("|CPU|listed = 2,000|1,220 us|1,100 us|10.9%|the smaller sizes|run 2",
+            line("CPU"));
+        assertEquals("|a point|x = 20|1.5 KB|2 KB|-25%|`small * guess`|run 3", line("a point"));
+        String no = "|-|not measured|not measured|not measured|the smaller sizes|";
+        assertEquals("|few" + no + "no such point in run 3", line("few"));
+        assertEquals("|none" + no + "**no run yet**", line("none"));
     }
 
     /** Whole numbers as they are, and always with a point. */
@@ -136,7 +139,8 @@
         String before = fixture("measurements");
         assertEquals(0, run("--model", MODEL, "--measurements", rows, "measurements"), () -> err);
         assertEquals(before, out);
-        assertTrue(out.contains("| m.cpu | listed | 4 | 10 | 2,000 | 0.5 | 20 | 31 | us |"), out);
+        assertTrue(out.contains("| m.cpu | listed | 4 | 10 | 2,000 | 0.5 | 20 | 31 | us | run 2 |"), out);
+        assertTrue(fixture("runs").contains("| run 2 | `module --seed 1` at 0b |"), out);
     }
 
     @ParameterizedTest
