Capacity page: several runs of one figure stand side by side

A run after a change gives the figures of the one before it anew. The last counts; the page now shows all of them at the largest size that they have in common, and the last over the first.

--- a/src/main/java/willowyoke/scale/capacity/Tables.java
+++ b/src/main/java/willowyoke/scale/capacity/Tables.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -33,6 +34,7 @@
         all.put("carriers", t.mechanisms(m -> !m.state().equals("missing")));
         model.roles().keySet().forEach(role -> all.put(role, t.role(role)));
         all.put("cross-check", t.crossChecks());
+        all.put("compared", t.compared());
         all.put("runs", t.runs());
         all.put("measurements", t.measurements());
         for (String kind : List.of("size", "budget", "assumption", "code", "derived")) {
@@ -121,6 +123,28 @@
         return table.toString();
     }
 
+    /** Figures that several runs gave, at the largest size that all of them have. */
+    private String compared() {
+        StringBuilder table = head("metric", "at", "by run, the earliest first", "last over first");
+        boolean none = true;
+        Map<String, List<Series>> same = model.measurements().all().stream().collect(Collectors.groupingBy(
+            s -> s.metric() + " " + s.x() + " " + s.unit(), LinkedHashMap::new, Collectors.toList()));
+        for (List<Series> runs : same.values()) {
+            Series first = runs.get(0);
+            Series last = runs.get(runs.size() - 1);
+            OptionalDouble at = first.points().stream().mapToDouble(p -> p[0])
+                .filter(x -> runs.stream().noneMatch(s -> Double.isNaN(s.pointAt(x)))).max();
+            if (runs.size() > 1 && at.isPresent()) {
+                double x = at.getAsDouble();
+                line(table, first.metric(), first.x() + " = " + Figure.number(x), runs.stream()
+                    .map(s -> label(s) + ": " + amount(s.pointAt(x), s)).collect(Collectors.joining("; ")),
+                    Figure.number(last.pointAt(x) / first.pointAt(x)));
+                none = false;
+            }
+        }
+        return none ? "None yet.\n" : table.toString();
+    }
+
     private String label(Series series) {
         return model.measurements().label(series);
     }
--- a/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
+++ b/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
@@ -122,6 +122,12 @@
         assertEquals("|none" + no + "**no run yet**", line("none"));
     }
 
+    @Test void runsOfOneFigureAreComparedWhereAllHaveIt() {
+        fixture("compared");
+        assertEquals("|m.cpu|listed = 10|run 1: 9,000 us; run 2: 26 us|0.00289", line("m.cpu"));
+        assertEquals(1, out.lines().filter(l -> l.contains("run ") && l.contains(" us;")).count());
+    }
+
     /** Whole numbers as they are, and always with a point. */
     @Test void unitsSuitTheSize() {
         assertEquals("29.8 MB", Figure.of(29_812_345).text("B"));
