--- a/src/main/java/willowyoke/scale/capacity/Measurements.java
+++ b/src/main/java/willowyoke/scale/capacity/Measurements.java
@@ -3,7 +3,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** What runs have measured: series of points, each with its run, commit and straight-line fit. */
 final class Measurements {
@@ -44,6 +46,7 @@
     }
 
     private final List<Series> all = new ArrayList<>();
+    private final Set<String> asked = new HashSet<>();
 
     private Measurements() { }
 
@@ -81,6 +84,11 @@
         return all;
     }
 
+    /** The series of which the page has made use. */
+    List<Series> used() {
+        return all.stream().filter(s -> asked.contains(s.metric + " " + s.x)).toList();
+    }
+
     /** A run's command and commit, in their order; the page calls them by their place. */
     List<String> runs() {
         return all.stream().map(Measurements::run).distinct().toList();
@@ -98,6 +106,7 @@
     /** The series of a metric over x, the last one where several runs gave it; null where none did. */
     Series find(String metric, String x) {
         Series found = null;
+        asked.add(metric + " " + x);
         for (Series s : all) {
             found = s.metric.equals(metric) && s.x.equals(x) ? s : found;
         }
--- a/src/main/java/willowyoke/scale/capacity/Model.java
+++ b/src/main/java/willowyoke/scale/capacity/Model.java
@@ -11,13 +11,15 @@
 /**
  * The sizes, budgets, assumptions and rows of the page, read from its file and reckoned with what has been
  * measured. A formula is a sum of products over names, numbers, {@code form.NAME} (bytes of a sample
- * message), {@code metric[x]} (a slope) and {@code metric[x=NAME]} (the fit at that size), all in bytes and
- * seconds.
+ * message), {@code metric[x]} (a slope), {@code metric[x=NAME]} (the fit at that size) and
+ * {@code metric[x@NAME]} (the point that was measured there, or at the {@code largest} size), all in bytes
+ * and seconds.
  */
 final class Model {
     private static final Set<String> KINDS = Set.of("size", "budget", "assumption", "code", "derived");
     private static final Set<String> STATES = Set.of("present", "made here", "missing");
     private static final String FORM = "form.";
+    private static final String LARGEST = "largest";
     private static final Map<String, Double> UNITS = Map.of("ns", 1e-9, "us", 1e-6, "ms", 1e-3, "KB", 1e3,
         "MB", 1e6, "GB", 1e9);
 
@@ -204,18 +206,22 @@
     /** What a run gave; no number, and told so, where none did. */
     private Figure measured(String word, String at) {
         String metric = word.substring(0, word.indexOf('['));
-        String[] x = word.substring(word.indexOf('[') + 1, word.length() - 1).split("=", 2);
-        Figure size = x.length == 1 ? Figure.of(0) : term(x[1], at);
+        String inside = word.substring(word.indexOf('[') + 1, word.length() - 1);
+        boolean atPoint = inside.contains("@");
+        String[] x = inside.split("[=@]", 2);
         Series found = measurements.find(metric, x[0]);
+        Figure size = x.length == 1 ? Figure.of(0) : !atPoint || !x[1].equals(LARGEST) ? term(x[1], at)
+            : Figure.of(found == null ? Double.NaN : found.largest());
         if (found == null) {
             String none = "**no run yet** of " + metric + " over " + x[0];
             return Figure.of(Double.NaN, none).with(Double.NaN, size);
         }
         double unit = scale(found);
         String run = measurements.label(found) + ": ";
-        if (found.fit() == null) { // a point at just this size is as good as a line
+        if (found.fit() == null || atPoint) { // a point at just this size is as good as a line
             double point = x.length == 1 ? Double.NaN : found.pointAt(size.value()) * unit;
-            String grounds = run + (Double.isNaN(point) ? "**too few points**" : "a point");
+            String grounds = run + (Double.isNaN(point) ? "**no such point**"
+                : "as measured at " + x[0] + " = " + Figure.number(size.value()));
             return Figure.of(point, grounds).with(point, size);
         }
         double slope = found.fit().slope();
--- a/src/main/java/willowyoke/scale/capacity/Tables.java
+++ b/src/main/java/willowyoke/scale/capacity/Tables.java
@@ -127,7 +127,7 @@
     private String compared() {
         StringBuilder table = head("metric", "at", "by run, the earliest first", "last over first");
         boolean none = true;
-        Map<String, List<Series>> same = model.measurements().all().stream().collect(Collectors.groupingBy(
+        Map<String, List<Series>> same = model.measurements().used().stream().collect(Collectors.groupingBy(
             s -> s.metric() + " " + s.x() + " " + s.unit(), LinkedHashMap::new, Collectors.toList()));
         for (List<Series> runs : same.values()) {
             Series first = runs.get(0);
@@ -165,7 +165,7 @@
     private String measurements() {
         StringBuilder table = head("metric", "over", "points", "from", "to", "slope", "intercept", "residual",
             "unit", "run");
-        for (Series s : model.measurements().all()) {
+        for (Series s : model.measurements().used()) {
             String[] fit = s.fit() == null ? new String[] {NONE, NONE, NONE} : new String[] {
                 Figure.number(s.fit().slope()), Figure.number(s.fit().intercept()),
                 Figure.number(s.residual())};
--- a/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
+++ b/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
@@ -91,6 +91,10 @@
         assertEquals("|now|inside|270 us|2.6 ms|within, 10.4%|`m.cpu[listed=small]`|run 2: "
             + "0.5 us x listed + 20|choice: missing", line("inside"));
         assertTrue(line("carried on").startsWith("|now|carried on|5 cores|1 core|**OVER, 5 x**|"));
+        assertEquals("|now|a point|1 KB|-|-|`few[x@10]`|run 3: as measured at x = 10|client: present",
+            line("a point"));
+        assertEquals("|now|the last|1.1 ms|-|-|`m.cpu[listed@largest]`|run 2: as measured at listed = 2,000|"
+            + "client: present", line("the last"));
         assertTrue(line("slope").startsWith("|now|slope|50 ms|-|-|"));
         assertEquals("|now|assumed|13.8|-|-|`lines * guess - 1 / 4 + 2`|code lines; *assumption* guess|"
             + "client: present", line("assumed"));
@@ -108,7 +112,7 @@
         fixture("missing");
         assertEquals("|1|choice|missing|chooses|3|2|0", line("choice"));
         fixture("carriers");
-        assertEquals("|1|client|present|counts|4|0|2", line("client"));
+        assertEquals("|1|client|present|counts|6|0|2", line("client"));
     }
 
     /** 10, 200 and 1,000 lie on 0.6 x + 20. */
@@ -168,9 +172,9 @@
     @ParameterizedTest
     @CsvSource(delimiter = '!', quoteCharacter = '~', value = {
         "\"servers\", ! \"server\", ! quantities[7]: is: 'servers' is not known here",
-        "* guess - 1 ! * guess 1 ! rows[6]: is: a name is missing in 'lines * guess 1 / 4 + 2'",
-        "* guess - ! * guess : ! rows[6]: is: one of + - * / expected, found ':'",
-        "lines * ! form.letter * ! rows[6]: is: no message form 'form.letter'",
+        "* guess - 1 ! * guess 1 ! rows[8]: is: a name is missing in 'lines * guess 1 / 4 + 2'",
+        "* guess - ! * guess : ! rows[8]: is: one of + - * / expected, found ':'",
+        "lines * ! form.letter * ! rows[8]: is: no message form 'form.letter'",
         "\"client\"} ! \"clerk\"} ! rows[3]: mechanism: 'clerk' is none of [choice, client]",
         "\"state\": \"present\" ! \"state\": \"soon\" ! mechanisms[1]: state: 'soon' is none of",
         "\"is\": 100, ! \"is\": \"100\", ! quantities[2]: is: a number expected",
