Capacity page: of several runs of a figure the last with a fit counts

A run that varies one thing gives single points of the others, and these would take the place of a slope. The fixture has such a point now, and CapacityTablesTest fails without the rule.

--- a/src/main/java/willowyoke/scale/capacity/Measurements.java
+++ b/src/main/java/willowyoke/scale/capacity/Measurements.java
@@ -103,12 +103,13 @@
         return "`" + s.run + "` at " + s.commit;
     }
 
-    /** The series of a metric over x, the last one where several runs gave it; null where none did. */
+    /** The series of a metric over x, of several the last one with a fit if any; null where none was run. */
     Series find(String metric, String x) {
         Series found = null;
         asked.add(metric + " " + x);
         for (Series s : all) {
-            found = s.metric.equals(metric) && s.x.equals(x) ? s : found;
+            boolean better = found == null || found.fit == null || s.fit != null;
+            found = better && s.metric.equals(metric) && s.x.equals(x) ? s : found;
         }
         return found;
     }
--- a/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
+++ b/src/test/java/willowyoke/scale/capacity/CapacityTablesTest.java
@@ -128,7 +128,7 @@
 
     @Test void runsOfOneFigureAreComparedWhereAllHaveIt() {
         fixture("compared");
-        assertEquals("|m.cpu|listed = 10|run 1: 9,000 us; run 2: 26 us|0.00289", line("m.cpu"));
+        assertEquals("|m.cpu|listed = 10|run 1: 9,000 us; run 2: 26 us; run 4: 7 us|0.000778", line("m.cpu"));
         assertEquals(1, out.lines().filter(l -> l.contains("run ") && l.contains(" us;")).count());
     }
 
