--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -4,11 +4,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.ServerSocketChannel;
@@ -38,9 +41,11 @@
     private static final double SWEEP = 250;
     /** At the bound one that has asked nothing yet may go after this (ms): clients ask when they connect. */
     private static final double ASKS_WITHIN = 500;
-    /** A client that does not read what it is owed is cut off this long (ms) after the end. */
+    /** A client that reads nothing of what it is owed for so long (ms) after the end is cut off. */
     private static final int UNREAD = 2000;
 
+    /** While none is accepted, it is looked this often (ms) whether one may make room by now. */
+    private static final double LOOK_AGAIN = 50;
     private static final int BACKLOG = 1024;
     /** So much written and not sent (bytes): no more is read for this client until half of it has gone. */
     private static final int UNSENT = 32 * 1024;
@@ -58,52 +63,79 @@
     private final Set<Connection> open = new LinkedHashSet<>();
     /** Those that have sent no whole command yet, the oldest first. */
     private final Set<Connection> silent = new LinkedHashSet<>();
+    /** Those that have made room, until their clients have seen it. */
+    private final Set<Connection> leaving = new LinkedHashSet<>();
+    private final ReadAhead.Shared shared;
     private Channel listener;
+    private volatile boolean refused;
     private boolean closing;
     private boolean unbinding;
+    private long accepted;
+    private boolean full;
 
     ClientListener(Node node, int most) {
         this.node = node;
         this.most = most;
+        shared = new ReadAhead.Shared(node);
     }
 
-    /** Binds; throws where the address cannot be had. */
+    /** Binds; null where the node has been told to end, and throws where the address cannot be had. */
     SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(Transport.listener())
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener())
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-            .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR,
-                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
+            .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR, accepts())
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
+                    if (refused) {
+                        channel.close();
+                        return;
+                    }
                     listener = channel; // on the loop: a client may come before bind has returned
-                    channel.pipeline().addLast(new Queue());
+                    channel.pipeline().addLast(new Queue(), new AcceptFailure(node));
                 }
             })
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.toTheEnd())
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNSENT / 2, UNSENT))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
+                    channel.pipeline().addLast(c.ahead);
                     c.raw = Resp.codec(channel.pipeline(), MOST_WORDS, c);
                     channel.pipeline().addLast(c);
                     open.add(c);
                     silent.add(c);
                     room();
                 }
-            }).bind(address).sync().channel().localAddress();
+            }).bind(address).await();
+        return refused ? null : bound.sync().channel().localAddress();
+    }
+
+    /** Accepts on until none waits: with epoll a round ended behind the first, and hid the rest. */
+    private static RecvByteBufAllocator accepts() {
+        ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
+        accepts.maxMessagesPerRead(ACCEPTS);
+        return accepts.respectMaybeMoreData(false);
+    }
+
+    /** Listens at no time from now on; false where it listens already. */
+    boolean refuse() {
+        refused = listener == null;
+        return refused;
     }
 
     /** Sees the listener's queue run empty: only then nothing that waits in it is reset by a close. */
     private final class Queue extends ChannelInboundHandlerAdapter {
-        private int accepted;
+        private int round;
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            round++;
             accepted++;
             ctx.fireChannelRead(msg);
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            boolean empty = accepted < ACCEPTS; // else the bound of a round ended it
-            accepted = 0;
+            boolean empty = round < ACCEPTS; // else the bound of a round ended it
+            round = 0;
             if (unbinding && empty) {
                 ctx.close();
             }
@@ -134,19 +166,31 @@
         }
     }
 
-    /** At the bound one connection goes for each that comes; where none can, accepting waits for a close. */
+    /** At the bound one connection goes for each that comes; where none may yet, accepting waits for one. */
     private void room() {
-        if (open.size() > most) {
-            Connection last = last();
-            if (last != null) {
-                last.channel.close(); // at once: nothing is owed on it, and lingering would keep its place
-            }
+        Connection last = open.size() > most ? last() : null;
+        while (last != null) {
+            last.leave();
+            last = open.size() > most ? last() : null;
         }
         accept();
     }
 
     private void accept() {
-        listener.config().setAutoRead(unbinding || open.size() < most + Math.max(1, most / 16));
+        boolean room = open.size() < most + beyond(most);
+        listener.config().setAutoRead(unbinding || room);
+        if (!room && !full) {
+            full = true;
+            node.after(LOOK_AGAIN, () -> {
+                full = false;
+                room();
+            });
+        }
+    }
+
+    /** Connections that are held beyond the bound while it is looked for one to make room. */
+    static int beyond(int most) {
+        return Math.max(1, most / 16);
     }
 
     /**
@@ -158,13 +202,13 @@
         Connection half = null;
         double before = node.now() - ASKS_WITHIN;
         for (Connection c : silent) {
-            if (!c.deaf && c.raw.pending == 0 && c.bornAt < before) {
+            if (!c.deaf && !c.begun() && c.bornAt < before) {
                 return c;
             }
             half = half == null && !c.deaf && c.bornAt < before ? c : half;
         }
         for (Connection c : open) {
-            if (c.between() && !silent.contains(c)) {
+            if (c.between() && !silent.contains(c) && c.unsent() == 0) {
                 return c;
             }
         }
@@ -194,19 +238,29 @@
     /** Listens no more, from the next moment on at which no connection waits to be accepted. */
     void unbind() {
         unbinding = true;
-        if (listener != null) { // told to end before it was bound
-            listener.config().setAutoRead(true);
-            node.after(QUIET, listener::close);
-        }
+        listener.config().setAutoRead(true);
+        node.after(QUIET, this::closeWhenEmpty);
+    }
+
+    /** A late loop may not have looked at the queue in all that time: it does in the round before. */
+    private void closeWhenEmpty() {
+        long before = accepted;
+        node.after(1, () -> {
+            if (accepted == before) {
+                listener.close();
+            } else {
+                closeWhenEmpty();
+            }
+        });
     }
 
     boolean idle() {
-        return open.isEmpty();
+        return open.isEmpty() && leaving.isEmpty();
     }
 
     /** Reads on where connections were held back for memory. */
     void resume() {
-        for (Connection c : open) {
+        for (Connection c : open.toArray(new Connection[0])) {
             c.hold();
         }
     }
@@ -235,6 +289,12 @@
             connection.drain();
         }
 
+        /** The rest of it does not come: an end of the connection is the only way to tell the client. */
+        void brokenOff() {
+            stream = null;
+            connection.breakOff();
+        }
+
         /** Its last bit is written. */
         void streamed() {
             connection.slots.remove(this);
@@ -242,8 +302,9 @@
             connection.drain();
         }
 
-        io.netty.buffer.ByteBufAllocator alloc() {
-            return connection.channel.alloc();
+        /** The client has gone, also where that has not been told yet: a round may bring many ends. */
+        boolean isClosed() {
+            return !connection.channel.isActive();
         }
     }
 
@@ -251,6 +312,7 @@
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
         private final double bornAt = node.now();
+        private final ReadAhead ahead = new ReadAhead(shared);
         private Resp.Raw raw;
         /** Since when a whole command is waited for; never where none has begun. */
         private double silentFrom = bornAt;
@@ -260,7 +322,6 @@
         private ArrayRedisMessage bodyCommand;
         private boolean bodyOwned;
         private boolean deaf;
-        private boolean broken;
         private boolean finished;
 
         Connection(SocketChannel channel) {
@@ -354,15 +415,14 @@
             }
         }
 
-        /** Reading stops while too much is unanswered, unread by the client, or held by all. */
+        /** Nothing more is taken while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
-            boolean read = deaf && !broken || !deaf
-                && slots.size() < PIPELINED && channel.isWritable()
+            boolean take = deaf || slots.size() < PIPELINED && channel.isWritable()
                 && (body == null ? !node.full() : body.wants());
-            if (channel.config().isAutoRead() != read) {
-                channel.config().setAutoRead(read);
-                if (read && body != null) {
-                    silentFrom = node.now(); // it was we who did not read
+            if (ahead.held() == take) {
+                ahead.hold(!take);
+                if (take && body != null) {
+                    silentFrom = node.now(); // it was we who did not take it
                 }
             }
         }
@@ -378,14 +438,41 @@
             if (slots.isEmpty() && (closing || deaf)) {
                 finish();
             }
-            if (!channel.config().isAutoRead()) {
+            if (ahead.held()) {
                 hold();
             }
         }
 
+        /** Something has come that is no whole command yet, or has not been looked at. */
+        private boolean begun() {
+            return raw.pending != 0 || !ahead.isEmpty();
+        }
+
+        /** Bytes written and not taken over by the system, as the client reads slowly. */
+        private long unsent() {
+            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+            return out == null ? 0 : out.totalPendingWriteBytes();
+        }
+
+        /**
+         * Makes room. What comes in this moment is read and dropped, as a close over it would be a reset, and
+         * that eats the answer before. The client has a while to see it; of many the first go at once.
+         */
+        private void leave() {
+            open.remove(this);
+            silent.remove(this);
+            leaving.add(this);
+            finish();
+            if (leaving.size() > beyond(most)) {
+                Connection first = leaving.iterator().next();
+                leaving.remove(first); // its end is told later
+                first.channel.close();
+            }
+        }
+
         /** Nothing is asked and nothing has begun to come. */
         private boolean between() {
-            return slots.isEmpty() && raw.pending == 0 && !deaf;
+            return slots.isEmpty() && !begun() && !deaf;
         }
 
         private void finishIdle() {
@@ -399,8 +486,8 @@
             if (!finished) {
                 finished = true;
                 deaf = true;
-                channel.config().setAutoRead(!broken);
-                channel.eventLoop().schedule(() -> channel.close(), UNREAD, TimeUnit.MILLISECONDS);
+                hold();
+                unread(Long.MAX_VALUE);
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                     channel.shutdownOutput();
@@ -409,6 +496,16 @@
             }
         }
 
+        /** Cuts off a client that has taken nothing of what is left to it since it was looked last. */
+        private void unread(long before) {
+            long left = unsent();
+            if (left >= before) {
+                channel.close();
+            } else if (channel.isActive()) {
+                channel.eventLoop().schedule(() -> unread(left), UNREAD, TimeUnit.MILLISECONDS);
+            }
+        }
+
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
             if (body != null) {
                 silentFrom = node.now();
@@ -438,6 +535,14 @@
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
             silent.remove(this);
+            leaving.remove(this);
+            abandon();
+            room();
+            node.flush();
+        }
+
+        /** Nobody is owed anything here any more. */
+        private void abandon() {
             dropBody();
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
@@ -449,13 +554,18 @@
                     slot.stream.abandoned();
                 }
             }
-            room();
-            node.flush();
+        }
+
+        /** The answer that goes out cannot be whole; those before it still get there. */
+        private void breakOff() {
+            deaf = true;
+            abandon();
+            finish();
         }
 
         /**
          * There is no telling where the next command begins. What is open on the connection fails at once, so
-         * that the error is not late behind it, and nothing more is read: 60 MB would cost as much to drop.
+         * that the error is not late behind it, and nothing more is read.
          */
         private void malformed(String what) {
             if (bodyCommand != null) {
@@ -464,7 +574,7 @@
             dropBody();
             if (!deaf) {
                 deaf = true;
-                broken = true;
+                ahead.shut(); // 60 MB would cost as much to drop as to take
                 Slot last = new Slot(this);
                 slots.add(last);
                 for (Slot slot : slots.toArray(new Slot[0])) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -26,7 +26,7 @@
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
  * All of it runs on one event loop thread, the module too. It decides nothing.
  */
-public final class Node implements Gateway.Actions {
+public final class Node implements Gateway.Actions, Discovery.Host {
     /** How a decision module is made. */
     public interface Maker {
         Gateway.Events start(Gateway.Settings settings, long seed, double now, Gateway.Actions actions);
@@ -36,13 +36,8 @@
     private static final double WAY_BACK = 10;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
-    /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
-    private static final long READY_WITHIN = 4000;
-    /**
-     * A list known from before serves after this (ms), until discovery's comes: seconds later after a mass
-     * kill. Until then discovery is waited for, and one quiet call to it: what it has counts as told.
-     */
-    private static final double LIST_WITHIN = 800;
+    /** A loop that is held up by its own work is waited for no longer than this (ms) past the waits. */
+    private static final long LOOP_LATE = 1000;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
@@ -57,6 +52,12 @@
     private static final double SERVERS = 0.25;
     /** A new version takes what true clients need, until the old one's have gone; a tenth shut them out. */
     private static final double CLIENTS_BESIDE = 0.34;
+    /**
+     * What the process holds itself, at the most: 24 files of the JVM, its loop and its state, the listener,
+     * 8 counter lines while it moves, 5 calls to discovery (a move, and old ones that end) and 2 to spare.
+     */
+    private static final int OWN = 40;
+    private static final int OWN_CONTROL = AdminServer.MOST + 1;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -128,26 +129,43 @@
     public Node(Config config, Maker maker) {
         this.config = config;
         this.maker = maker;
-        clients = new ClientListener(this, (int) (config.sockets() * CLIENTS));
+        clients = new ClientListener(this, clientsOf(CLIENTS));
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout(), config.seed());
-        discovery = new Discovery(this, group, config);
+        discovery = new Discovery(this, Discovery.sockets(group), config);
         admin = new AdminServer(this);
         handover = new Handover(config.folder(), config.name());
         metrics = new Metrics(config.settings().classes());
         cordons = new Cordons(this, config.folder(), config.name());
     }
 
+    /** So many clients as this part of the descriptors holds, or as the others' parts and ours leave. */
+    private int clientsOf(double part) {
+        int most = (int) (config.sockets() * part);
+        int left = config.sockets() - (int) (config.sockets() * SERVERS) - OWN
+            - 2 * ClientListener.beyond(most) - (config.control() == null ? 0 : OWN_CONTROL);
+        return Math.max(config.sockets() / 3, Math.min(most, left)); // a third is theirs by the terms
+    }
+
     // ---- life ----
 
-    /** Comes up, and listens only once it is ready: a front takes in what answers. */
-    public void start() throws IOException {
+    /** As the first thing that its process does. */
+    void start() throws IOException {
+        start(0);
+    }
+
+    /**
+     * Comes up, and listens only once it is ready: a front takes in what answers. The process has spent so
+     * long (ms) on its start before; see {@link Readiness}.
+     */
+    public void start(double spent) throws IOException {
         if (config.control() != null) {
             control = admin.bind(group, config.control()); // from here on who asks is told: not yet
         }
         Set<String> out = cordons.load();
         CompletableFuture<Void> ready = new CompletableFuture<>();
+        ended.thenRun(() -> ready.complete(null)); // told to end meanwhile
         group.execute(() -> {
             try {
                 module = maker.start(config.settings(), config.seed(), now(), this);
@@ -155,41 +173,42 @@
                 ready.completeExceptionally(e);
                 return;
             }
+            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
+            servers.ready().thenRun(() -> StartLog.ended("servers"));
+            counter.ready().thenRun(() -> StartLog.ended("counter"));
             cordons(out); // before the first attempt
             cordons.start();
-            discovery.start(config.known());
+            guarded(() -> discovery.start(config.known())); // whatever that list is: discovery has another
             counter.start();
             servers.start();
             clients.start();
             StartLog.ended("loop and module");
-            discovery.ready().thenRun(() -> StartLog.ended("discovery"));
-            servers.ready().thenRun(() -> StartLog.ended("servers"));
-            counter.ready().thenRun(() -> StartLog.ended("counter"));
-            CompletableFuture<Void> list = new CompletableFuture<>();
-            discovery.ready().thenRun(() -> list.complete(null));
-            if (config.known() != null) {
-                after(LIST_WITHIN, () -> list.complete(null));
-            }
-            CompletableFuture.allOf(list, servers.ready(), counter.ready())
-                .thenRun(() -> ready.complete(null));
+            Readiness.of(this, spent, config.known() != null, discovery.ready(), servers.ready(),
+                counter.ready()).thenRun(() -> ready.complete(null));
         });
         try {
-            ready.get(READY_WITHIN, TimeUnit.MILLISECONDS);
+            ready.get((long) Readiness.LIST_WITHOUT + LOOP_LATE, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
-            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
-                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+            System.err.println("ready, with the loop held up");
         } catch (java.util.concurrent.ExecutionException e) {
             throw new IOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
         }
+        if (!(discovery.ready().isDone() && servers.ready().isDone() && counter.ready().isDone())) {
+            System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
+                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+        }
         try {
             if (handover.beside()) {
-                clients.bound((int) (config.sockets() * CLIENTS_BESIDE));
-                after(longestEnd(), () -> clients.bound((int) (config.sockets() * CLIENTS)));
+                clients.bound(clientsOf(CLIENTS_BESIDE));
+                after(longestEnd(), () -> clients.bound(clientsOf(CLIENTS)));
+            }
+            SocketAddress bound = ended.isDone() ? null : clients.bind(group, config.listen());
+            if (bound == null) {
+                return; // SIGTERM came first
             }
-            SocketAddress bound = clients.bind(group, config.listen());
             handover.claim();
             address = bound;
         } catch (InterruptedException e) {
@@ -236,6 +255,10 @@
         boolean succeeded = handover.succeeded();
         group.execute(() -> {
             endsAt = now() + longestEnd();
+            if (clients.refuse()) {
+                ended.complete(null); // during the start: nothing is taken, and now nothing will be
+                return;
+            }
             if (succeeded) {
                 clients.unbind();
                 clients.close();
@@ -272,12 +295,12 @@
      * The module's clock: milliseconds of one monotonic clock, set once to Unix time. So born_ms needs no
      * translation, and the names on the counter, which the module cuts by time, are alike at all edge nodes.
      */
-    double now() {
+    @Override public double now() {
         return startedMs + (System.nanoTime() - startedNanos) / 1e6;
     }
 
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
-    Future<?> after(double delay, Runnable what) {
+    @Override public Future<?> after(double delay, Runnable what) {
         long nanos = Math.max(0, Math.round(delay * 1e6));
         return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
     }
@@ -307,7 +330,7 @@
         }
     }
 
-    void log(String where, Throwable what) {
+    @Override public void log(String where, Throwable what) {
         if (++logged > LOGGED) {
             return;
         }
@@ -320,7 +343,7 @@
     }
 
     /** Writes out what the events of this round have left on the connections. */
-    void flush() {
+    @Override public void flush() {
         if (!dirty.isEmpty()) {
             Channel[] all = dirty.toArray(new Channel[0]);
             dirty.clear();
@@ -393,10 +416,14 @@
         }
     }
 
+    /** The client has gone. An attempt whose last byte is not out would begin only later: it never does. */
     void gone(Request r) {
         if (!r.over) {
             over(r);
             tell(m -> m.gone(now(), r.id));
+            for (ServerPool.Attempt a : r.attempts) {
+                later(() -> servers.recall(a));
+            }
             settle(r);
         }
     }
@@ -508,7 +535,7 @@
     }
 
     /** A list, or a part of one. The pool hears first, so that what waits there does not go to a drain. */
-    void listed(List<Gateway.Server> list, boolean whole) {
+    @Override public void listed(List<Gateway.Server> list, boolean whole) {
         if (whole) {
             servers.listBegins();
         }
@@ -523,18 +550,22 @@
     }
 
     /** A whole list begins: its parts follow as changes, and what none of them names is gone at its end. */
-    void listBegins() {
+    @Override public void listBegins() {
         servers.listBegins();
         tell(m -> m.listBegins(now()));
     }
 
-    void listEnds() {
+    @Override public void listEnds() {
         servers.listEnds();
         tell(m -> m.listEnds(now()));
         servers.known();
     }
 
-    void discoveryFailed() {
+    @Override public void say(String what) {
+        System.err.println(what);
+    }
+
+    @Override public void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
 
@@ -576,7 +607,7 @@
         ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
         r.attempts.add(a);
         r.out++;
-        boolean gone = r.body != null && r.body.isGone();
+        boolean gone = r.body != null && r.body.isGone() || r.slot.isClosed();
         if (r.over || gone || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
             a.done = true;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -322,6 +322,13 @@
         }
     }
 
+    /** Ends an attempt that the server has not got whole, and so has not begun. */
+    void recall(Attempt a) {
+        if (a.link == null || !a.link.written) {
+            giveUp(a, Gateway.Outcome.NOT_SENT);
+        }
+    }
+
     private void end(Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
         if (a.done) {
             return;
@@ -348,6 +355,9 @@
     }
 
     private void connect(Target t) {
+        if (open >= most && t.waiting.isEmpty()) {
+            return; // ahead of any request: at the bound those that are asked for have what there is
+        }
         Link link = new Link(t);
         t.connecting++;
         open++;
