Event log with request ids, states, and reasons of closes, retries and refusals

The incident's logs had nothing between bind and the next start. Events are kept in memory, and written from SIGTERM on (EDGE_LOG=all: from the start); refusals, retries and closes are counted by reason in the figures. Behaviour is unchanged.

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -29,6 +29,28 @@
         }
     }
 
+    /** Why a request was refused or failed; it changes nothing of the answer, and is told to operators. */
+    enum EndReason {
+        /** The settings have no such class or plan. */
+        NOT_IN_SETTINGS,
+        /** A client's retry, or one with no useful time left, while its quota is short. */
+        QUOTA_SHORT,
+        /** Held for quota or a server until an answer would have been late. */
+        HELD_TOO_LONG,
+        /** The client's time is over. */
+        DEADLINE,
+        /** Its attempt may have run, and the class may not be repeated, or not any more. */
+        NOT_REPEATABLE,
+        /** All attempts that the settings allow are used. */
+        ATTEMPTS_USED,
+        /** Too little time is left for another attempt. */
+        NO_TIME_TO_REPEAT,
+        /** The decision module gave no answer in time, or failed. */
+        NO_DECISION,
+        /** What came behind it on its connection could not be read. */
+        CONNECTION_MALFORMED
+    }
+
     /** A class of requests. */
     record RequestClass(String name, Effect effect, Group group, double aim, double deadline, double worth,
         double lateWorth, double window, boolean stream) {
@@ -131,6 +153,16 @@
 
         void fail(long id);
 
+        /** As {@link #refuse(long, double)}, with the reason. */
+        default void refuse(long id, double retryAfter, EndReason reason) {
+            refuse(id, retryAfter);
+        }
+
+        /** As {@link #fail(long)}, with the reason. */
+        default void fail(long id, EndReason reason) {
+            fail(id);
+        }
+
         void timer(double delay, long token);
 
         void probe(String server);
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import willowyoke.Gateway;
 
 /** Clients' connections: commands in, answers out in the order of the commands. */
 final class ClientListener {
@@ -71,6 +72,7 @@
     private boolean closing;
     private boolean unbinding;
     private long accepted;
+    private long connections;
     private boolean full;
 
     ClientListener(Node node, int most) {
@@ -270,10 +272,12 @@
         private final Connection connection;
         private RedisMessage answer;
         private ValueStream stream;
+        private final int commandsBefore;
         Node.Request request;
 
         private Slot(Connection connection) {
             this.connection = connection;
+            commandsBefore = connection.commands++;
         }
 
         /** Gives the one answer; it is written once those before it are. */
@@ -302,6 +306,21 @@
             connection.drain();
         }
 
+        /** Names the connection in the event log. */
+        long connection() {
+            return connection.number;
+        }
+
+        /** How old (ms) the connection is. */
+        double connectionAge() {
+            return connection.age();
+        }
+
+        /** Whole commands that came on the connection before this one. */
+        int commandsBefore() {
+            return commandsBefore;
+        }
+
         /** The client has gone, also where that has not been told yet: a round may bring many ends. */
         boolean isClosed() {
             return !connection.channel.isActive();
@@ -313,6 +332,10 @@
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
         private final double bornAt = node.now();
         private final ReadAhead ahead = new ReadAhead(shared);
+        /** Names it in the event log. */
+        private final long number = ++connections;
+        private int commands;
+        private CloseReason closeReason = CloseReason.CLOSED_BY_PEER;
         private Resp.Raw raw;
         /** Since when a whole command is waited for; never where none has begun. */
         private double silentFrom = bornAt;
@@ -328,6 +351,10 @@
             this.channel = channel;
         }
 
+        private double age() {
+            return node.now() - bornAt;
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             if (deaf) { // not taken: the client sends it once more elsewhere
                 ReferenceCountUtil.release(msg);
@@ -436,7 +463,7 @@
                 slots.peek().stream.turn(channel);
             }
             if (slots.isEmpty() && (closing || deaf)) {
-                finish();
+                finish(CloseReason.SHUTDOWN_ANSWERED);
             }
             if (ahead.held()) {
                 hold();
@@ -462,11 +489,11 @@
             open.remove(this);
             silent.remove(this);
             leaving.add(this);
-            finish();
+            finish(CloseReason.EVICTED);
             if (leaving.size() > beyond(most)) {
                 Connection first = leaving.iterator().next();
                 leaving.remove(first); // its end is told later
-                first.channel.close();
+                first.close(CloseReason.EVICTED);
             }
         }
 
@@ -477,12 +504,25 @@
 
         private void finishIdle() {
             if (between()) {
-                finish();
+                finish(CloseReason.SHUTDOWN_IDLE);
             }
         }
 
+        /** The first reason counts. */
+        private void because(CloseReason reason) {
+            if (closeReason == CloseReason.CLOSED_BY_PEER) {
+                closeReason = reason;
+            }
+        }
+
+        private void close(CloseReason reason) {
+            because(reason);
+            channel.close();
+        }
+
         /** Ends our side after what is written, then waits for the client's: a reset could eat an answer. */
-        private void finish() {
+        private void finish(CloseReason reason) {
+            because(reason);
             if (!finished) {
                 finished = true;
                 deaf = true;
@@ -491,7 +531,8 @@
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                     channel.shutdownOutput();
-                    channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
+                    channel.eventLoop().schedule(() -> close(CloseReason.LINGER_OVER), LINGER,
+                        TimeUnit.MILLISECONDS);
                 });
             }
         }
@@ -500,7 +541,7 @@
         private void unread(long before) {
             long left = unsent();
             if (left >= before) {
-                channel.close();
+                close(CloseReason.UNREAD);
             } else if (channel.isActive()) {
                 channel.eventLoop().schedule(() -> unread(left), UNREAD, TimeUnit.MILLISECONDS);
             }
@@ -536,6 +577,7 @@
             open.remove(this);
             silent.remove(this);
             leaving.remove(this);
+            node.clientClosed(new Event.ClientClosed(number, closeReason, age(), commands, slots.size()));
             abandon();
             room();
             node.flush();
@@ -560,7 +602,7 @@
         private void breakOff() {
             deaf = true;
             abandon();
-            finish();
+            finish(CloseReason.VALUE_BROKEN_OFF);
         }
 
         /**
@@ -573,13 +615,14 @@
             }
             dropBody();
             if (!deaf) {
+                because(CloseReason.MALFORMED);
                 deaf = true;
                 ahead.shut(); // 60 MB would cost as much to drop as to take
                 Slot last = new Slot(this);
                 slots.add(last);
                 for (Slot slot : slots.toArray(new Slot[0])) {
                     if (slot.request != null) {
-                        node.giveUp(slot.request);
+                        node.giveUp(slot.request, Gateway.EndReason.CONNECTION_MALFORMED);
                     }
                 }
                 last.answer(new ErrorRedisMessage("ERR " + what));
@@ -595,7 +638,7 @@
             if (!(cause instanceof java.io.IOException)) {
                 node.log("client connection", cause);
             }
-            channel.close();
+            close(CloseReason.ERROR);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/willowyoke/net/Event.java
@@ -0,0 +1,89 @@
+package willowyoke.net;
+
+import willowyoke.Gateway;
+
+/**
+ * What the event log tells, one line an event, as {@code name key=value ...}. Times and ages are
+ * milliseconds. The lines are put together by hand: a record's own toString links at run time, which a start
+ * pays for.
+ */
+sealed interface Event {
+    /** The line without its time. */
+    String text();
+
+    /** The request that this is about, by the client's id; null where it is about none. */
+    default String request() {
+        return null;
+    }
+
+    /** The node has entered a state; bound tells how long until all answers are due, 0 for no such time. */
+    record State(Phase to, double bound) implements Event {
+        @Override public String text() {
+            return "state to=" + to + (bound > 0 ? " answers_due_in=" + Math.round(bound) : "");
+        }
+    }
+
+    /** A request was taken on a client's connection of this age, which had sent so many commands before. */
+    record Taken(String request, String type, long connection, double age, int commands, double patience)
+        implements Event {
+        @Override public String text() {
+            return "taken request=" + request + " class=" + type + " connection=" + connection + " age="
+                + Math.round(age) + " commands_before=" + commands + " wait=" + Math.round(patience);
+        }
+    }
+
+    /** An attempt goes out; after is the outcome of the one before it, null for the first. */
+    record Sent(String request, int attempt, String server, Gateway.Outcome after) implements Event {
+        @Override public String text() {
+            return "sent request=" + request + " attempt=" + attempt + " server=" + server
+                + (after == null ? "" : " retry_after=" + after);
+        }
+    }
+
+    /** An attempt has ended, so long after it began. */
+    record Ended(String request, int attempt, String server, Gateway.Outcome outcome, double took)
+        implements Event {
+        @Override public String text() {
+            return "ended request=" + request + " attempt=" + attempt + " server=" + server + " outcome="
+                + outcome + " took=" + Math.round(took);
+        }
+    }
+
+    /** A request has its final answer; reason tells why it was not served, and is null where it was. */
+    record Answered(String request, Metrics.Outcome outcome, Gateway.EndReason reason) implements Event {
+        @Override public String text() {
+            return "answered request=" + request + " outcome=" + outcome
+                + (reason == null ? "" : " reason=" + reason);
+        }
+    }
+
+    /** The client of a request has gone. */
+    record Abandoned(String request) implements Event {
+        @Override public String text() {
+            return "abandoned request=" + request;
+        }
+    }
+
+    /** A client's connection has ended, with so many commands unanswered. */
+    record ClientClosed(long connection, CloseReason reason, double age, int commands, int unanswered)
+        implements Event {
+        @Override public String text() {
+            return "client_closed connection=" + connection + " reason=" + reason + " age=" + Math.round(age)
+                + " commands=" + commands + " unanswered=" + unanswered;
+        }
+    }
+
+    /** A connection to a place server has ended. */
+    record ServerClosed(String server, CloseReason reason) implements Event {
+        @Override public String text() {
+            return "server_closed server=" + server + " reason=" + reason;
+        }
+    }
+
+    /** The event loop ran a timer so long after it was due. */
+    record LoopLate(double by) implements Event {
+        @Override public String text() {
+            return "loop_late by=" + Math.round(by);
+        }
+    }
+}
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -1,7 +1,10 @@
 package willowyoke.net;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import willowyoke.Gateway;
 
 /**
@@ -27,6 +30,12 @@
     private final List<String> classes = new ArrayList<>();
     private final long[][] operations;
     private long relayed;
+    /** Counts by reason stand in the text from their first one on. */
+    private final Map<Gateway.EndReason, Long> refusals = new EnumMap<>(Gateway.EndReason.class);
+    private final Map<Gateway.EndReason, Long> failures = new EnumMap<>(Gateway.EndReason.class);
+    private final Map<Gateway.Outcome, Long> retries = new EnumMap<>(Gateway.Outcome.class);
+    private final Map<CloseReason, Long> clientCloses = new EnumMap<>(CloseReason.class);
+    private final Map<CloseReason, Long> serverCloses = new EnumMap<>(CloseReason.class);
 
     Metrics(List<Gateway.RequestClass> told) {
         told.forEach(c -> classes.add(c.name()));
@@ -46,6 +55,26 @@
         relayed++;
     }
 
+    /** A request was refused or failed, for this reason; null where the module told none. */
+    void unserved(Outcome outcome, Gateway.EndReason reason) {
+        if (reason != null) {
+            (outcome == Outcome.THROTTLED ? refusals : failures).merge(reason, 1L, Long::sum);
+        }
+    }
+
+    /** A further attempt goes out behind one that ended so. */
+    void retried(Gateway.Outcome after) {
+        retries.merge(after, 1L, Long::sum);
+    }
+
+    void clientClosed(CloseReason reason) {
+        clientCloses.merge(reason, 1L, Long::sum);
+    }
+
+    void serverClosed(CloseReason reason) {
+        serverCloses.merge(reason, 1L, Long::sum);
+    }
+
     String text(int openRequests, int registryEntries, int outOfRotation) {
         StringBuilder text = new StringBuilder();
         head(text, "operations_total", "counter", "Requests ended, by class and outcome.");
@@ -61,9 +90,28 @@
         single(text, "registry_entries", "gauge", "Place servers in the list.", registryEntries);
         single(text, "out_of_rotation", "gauge", "Listed place servers that get nothing new at present.",
             outOfRotation);
+        byReason(text, "refusals_total", "Requests refused, by reason.", "reason", refusals);
+        byReason(text, "failures_total", "Requests failed, by reason.", "reason", failures);
+        byReason(text, "retries_total", "Further attempts, by the outcome of the one before.", "after",
+            retries);
+        byReason(text, "client_closes_total", "Clients' connections ended, by reason.", "reason",
+            clientCloses);
+        byReason(text, "server_closes_total", "Place servers' connections ended, by reason.", "reason",
+            serverCloses);
         return text.toString();
     }
 
+    private static <R extends Enum<R>> void byReason(StringBuilder text, String name, String help,
+        String label, Map<R, Long> counts) {
+        if (counts.isEmpty()) {
+            return;
+        }
+        head(text, name, "counter", help);
+        counts.forEach((reason, count) -> text.append(PREFIX).append(name).append('{').append(label)
+            .append("=\"").append(reason.name().toLowerCase(Locale.ROOT)).append("\"} ").append(count)
+            .append('\n'));
+    }
+
     private static void single(StringBuilder text, String name, String type, String help, long value) {
         head(text, name, type, help);
         text.append(PREFIX).append(name).append(' ').append(value).append('\n');
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -70,6 +70,8 @@
         final String server;
         final double sent;
         boolean done;
+        /** Set when it has ended. */
+        Gateway.Outcome outcome;
         private Link link;
 
         Attempt(Node.Request request, int number, String server, double sent) {
@@ -106,7 +108,7 @@
                 Link link = it.next();
                 if (link.used && !limit.allows(now - link.usedAt)) {
                     it.remove();
-                    link.channel.close();
+                    link.close(CloseReason.IDLE_LIMIT);
                 } else if (now - link.usedAt >= REST && link.channel.isActive()) {
                     it.remove();
                     link.write(a);
@@ -221,7 +223,7 @@
 
     private void withdraw(Target t) {
         for (Link link : t.idle.toArray(new Link[0])) {
-            link.channel.close();
+            link.close(CloseReason.SERVER_NOT_USED);
         }
         while (!t.waiting.isEmpty()) {
             Attempt a = t.waiting.poll();
@@ -240,7 +242,7 @@
             - Math.max(config.keepAlive() * RETIRE_LEAST, config.keepAlive() - RETIRE_BEFORE);
         for (Target t : targets.values()) {
             while (!t.idle.isEmpty() && t.idle.peek().usedAt < before) {
-                t.idle.poll().channel.close();
+                t.idle.poll().close(CloseReason.RETIRED);
             }
         }
     }
@@ -318,7 +320,7 @@
             }
         } else {
             link.current = null;
-            link.channel.close(); // its answer is still owed on it: never to be used again
+            link.close(CloseReason.ATTEMPT_GIVEN_UP); // its answer is owed on it: never used again
         }
     }
 
@@ -347,7 +349,7 @@
     private boolean spare() {
         for (Target t : targets.values()) {
             if (!t.idle.isEmpty()) {
-                t.idle.poll().channel.close();
+                t.idle.poll().close(CloseReason.ROOM);
                 return true;
             }
         }
@@ -379,7 +381,7 @@
                 }
             } else if (!t.up) {
                 t.links.add(link);
-                link.channel.close();
+                link.close(CloseReason.SERVER_NOT_USED);
             } else {
                 t.links.add(link);
                 link.free();
@@ -403,6 +405,7 @@
         private boolean answered;
         private boolean begun;
         private double usedAt;
+        private CloseReason closeReason = CloseReason.CLOSED_BY_PEER;
         /** Whether there was a request before the one that is out, and how long ago it was answered. */
         private boolean used;
         private double idle;
@@ -411,6 +414,14 @@
             this.target = target;
         }
 
+        /** The first reason counts. */
+        void close(CloseReason reason) {
+            if (closeReason == CloseReason.CLOSED_BY_PEER) {
+                closeReason = reason;
+            }
+            channel.close();
+        }
+
         void write(Attempt a) {
             current = a;
             a.link = this;
@@ -487,7 +498,7 @@
                     node.after(REST, () -> serve(target));
                 }
             } else {
-                channel.close();
+                close(CloseReason.SERVER_NOT_USED);
             }
         }
 
@@ -506,7 +517,7 @@
                         end(a, written || a.request == null || a.request.body == null ? Gateway.Outcome.ERROR
                             : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
                     }
-                    channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
+                    close(CloseReason.UNASKED); // or not this: what comes next belongs to nobody
                     return;
                 }
                 learn(false);
@@ -552,7 +563,7 @@
 
         @Override public void stop() {
             stream = null;
-            channel.close();
+            close(CloseReason.VALUE_NOT_WANTED);
         }
 
         /** Takes an answer in one of the protocol's forms; false where it is in none: it may have run. */
@@ -585,7 +596,7 @@
          */
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
             if (stream == null && current == null && raw.pending != 0) {
-                channel.close();
+                close(CloseReason.UNASKED);
             } else if (answered) {
                 free();
             } else if (current != null && raw.pending != 0 && !begun) {
@@ -618,7 +629,7 @@
             ValueStream value = stream;
             current = null;
             stream = null;
-            channel.close();
+            close(CloseReason.UNREADABLE);
             if (value != null) {
                 value.broken();
             }
@@ -629,6 +640,7 @@
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open--;
+            node.serverClosed(target.id, closeReason);
             target.idle.remove(this);
             target.links.remove(this);
             if (target.up && !target.waiting.isEmpty()) {
@@ -656,7 +668,7 @@
                 node.log("app server connection", cause);
                 spoilt(); // what came cannot be read: an error of this answer, not of the server
             }
-            channel.close();
+            close(CloseReason.ERROR);
         }
     }
 
--- /dev/null
+++ b/src/test/java/willowyoke/net/EventLogTest.java
@@ -0,0 +1,71 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import willowyoke.Gateway;
+
+/** What the event log keeps, and what it writes when. */
+class EventLogTest {
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    private final EventLog log = new EventLog(new PrintStream(written, true, StandardCharsets.UTF_8));
+
+    private List<String> lines() {
+        log.flush();
+        List<String> lines = written.toString(StandardCharsets.UTF_8).lines().toList();
+        written.reset();
+        return lines;
+    }
+
+    @Test void beforeAShutdownEventsAreKeptAndNotWritten() {
+        log.add(1000.7, new Event.Abandoned("01"));
+        assertEquals(List.of(), lines());
+    }
+
+    @Test void inAShutdownEventsAreWrittenAsTheyHappen() {
+        log.writeAll();
+        log.add(1000.7, new Event.State(Phase.DRAINING, 2907.6));
+        log.add(1001, new Event.Taken("01", "read", 7, 350.4, 2, 1500));
+        log.add(1002, new Event.Sent("01", 1, "s0", Gateway.Outcome.RESET));
+        log.add(1003, new Event.Ended("01", 1, "s0", Gateway.Outcome.TIMEOUT, 12.4));
+        log.add(1004, new Event.Answered("01", Metrics.Outcome.FAULTED, Gateway.EndReason.DEADLINE));
+        log.add(1005, new Event.ClientClosed(7, CloseReason.SHUTDOWN_ANSWERED, 360, 3, 0));
+        log.add(1006, new Event.ServerClosed("s0", CloseReason.ATTEMPT_GIVEN_UP));
+        assertEquals(List.of("t=1000 state to=DRAINING answers_due_in=2908",
+            "t=1001 taken request=01 class=read connection=7 age=350 commands_before=2 wait=1500",
+            "t=1002 sent request=01 attempt=1 server=s0 retry_after=RESET",
+            "t=1003 ended request=01 attempt=1 server=s0 outcome=TIMEOUT took=12",
+            "t=1004 answered request=01 outcome=FAULTED reason=DEADLINE",
+            "t=1005 client_closed connection=7 reason=SHUTDOWN_ANSWERED age=360 commands=3 unanswered=0",
+            "t=1006 server_closed server=s0 reason=ATTEMPT_GIVEN_UP"), lines());
+    }
+
+    @Test void whatLedToAnEventIsToldOfItsRequestAlone() {
+        log.add(1, new Event.Abandoned("01"));
+        log.add(2, new Event.Abandoned("02"));
+        log.explain("02");
+        assertEquals(List.of("t=2 abandoned request=02"), lines());
+    }
+
+    @Test void theMemoryIsBounded() {
+        for (int i = 0; i < 10_000; i++) {
+            log.add(i, new Event.Abandoned("01"));
+        }
+        log.explain("01");
+        List<String> lines = lines();
+        assertEquals(256, lines.size());
+        assertEquals("t=9999 abandoned request=01", lines.get(255));
+    }
+
+    @Test void soManyLinesAndNoMoreAreWritten() {
+        log.writeAll();
+        for (int i = 0; i < 10_000; i++) {
+            log.add(i, new Event.Abandoned("01"));
+        }
+        assertEquals(4000, lines().size());
+    }
+}
--- a/src/test/java/willowyoke/net/MetricsTest.java
+++ b/src/test/java/willowyoke/net/MetricsTest.java
@@ -97,4 +97,21 @@
         assertEquals(3, all.get("relayed_total"));
         assertEquals(0, all.get("out_of_rotation"));
     }
+
+    @Test void refusalsRetriesAndClosesAreCountedByReason() {
+        Metrics metrics = new Metrics(List.of());
+        metrics.unserved(Metrics.Outcome.THROTTLED, Gateway.EndReason.QUOTA_SHORT);
+        metrics.unserved(Metrics.Outcome.FAULTED, Gateway.EndReason.DEADLINE);
+        metrics.unserved(Metrics.Outcome.FAULTED, Gateway.EndReason.DEADLINE);
+        metrics.unserved(Metrics.Outcome.FAULTED, null);
+        metrics.retried(Gateway.Outcome.RESET);
+        metrics.clientClosed(CloseReason.SHUTDOWN_IDLE);
+        metrics.serverClosed(CloseReason.RETIRED);
+        Map<String, Long> samples = samples(metrics.text(0, 0, 0));
+        samples.values().removeIf(n -> n == 0);
+        assertEquals(Map.of("refusals_total{reason=\"quota_short\"}", 1L,
+            "failures_total{reason=\"deadline\"}", 2L, "retries_total{after=\"reset\"}", 1L,
+            "client_closes_total{reason=\"shutdown_idle\"}", 1L,
+            "server_closes_total{reason=\"retired\"}", 1L), samples);
+    }
 }
