--- /dev/null
+++ b/src/test/java/willowyoke/net/ShutdownProcessTest.java
@@ -0,0 +1,168 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import willowyoke.scale.soak.FaultProxy;
+import willowyoke.scale.soak.NodeProcess;
+
+/**
+ * A planned restart of a real process, with its real signals: SIGTERM, and SIGKILL at the earliest time that
+ * the protocol allows. Its place server takes requests and never answers, behind a proxy that holds answers.
+ */
+@Timeout(60)
+class ShutdownProcessTest {
+    /** SIGKILL comes no sooner than this (ms) behind the longest deadline, which counts as 3 s at most. */
+    private static final int KILL_BEHIND = 750;
+    private static final int DEADLINE_COUNTED = 3000;
+    private static final int READY_WITHIN = 30_000;
+    private static final String UNANSWERED = "connection ended with no whole answer";
+
+    @TempDir Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private NodeProcess node;
+
+    private Peer placeServer;
+    private Peer discovery;
+    private FaultProxy proxy;
+
+    @BeforeEach void peers() throws IOException {
+        placeServer = new Peer();
+        discovery = new Peer(); // takes connections and says nothing: the list known before counts
+        proxy = new FaultProxy(new InetSocketAddress("127.0.0.1", placeServer.port()));
+        open.addAll(List.of(placeServer, discovery, proxy));
+    }
+
+    @AfterEach void end() throws Exception {
+        if (node != null) {
+            node.close();
+        }
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    /** Starts a node whose classes have this deadline (ms), and holds the answers of its place server. */
+    private void start(int deadline) throws Exception {
+        int port = NodeProcess.freePort();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, """
+            {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
+             "limits":{"sockets":256},"known":%s,
+             "settings":{"rank":0,"group_size":1,"tick":4,"family_info":{"most_units":1},
+              "limits":{"send_cap":2,"keepalive":15000,"connect_timeout":250,"cancelling":true},
+              "request_classes":[{"name":"order","effect":"non_idempotent","aim":%d,"hard_limit":%d},
+                {"name":"read","effect":"read_like","aim":%d,"hard_limit":%d}],
+              "tariffs":[{"name":"p","per_second":800,"depth":800}]}}"""
+            .formatted(port, discovery.address(),
+            NodeFixture.list(41, true, NodeFixture.entry("s0", proxy.dial(), "active")), deadline / 2,
+            deadline, deadline / 2, deadline));
+        List<String> command = List.of(System.getProperty("java.home") + File.separator + "bin"
+            + File.separator + "java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+            System.getProperty("java.class.path"), "willowyoke.Main", "serve");
+        node = NodeProcess.start(command, Path.of("."), Map.of("EDGE_CONFIG", config.toString(), "TMPDIR",
+            folder.toString()), folder.resolve("log"), new InetSocketAddress("127.0.0.1", port));
+        assertTrue(node.awaitReady(READY_WITHIN), () -> "not ready: " + log());
+        proxy.mode(FaultProxy.Mode.HOLD_ANSWERS);
+    }
+
+    private String log() {
+        try {
+            return node.log();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private Peer.Line client() throws IOException {
+        Peer.Line line = Peer.Line.to(node.address().getPort());
+        open.add(line);
+        return line;
+    }
+
+    private static void post(Peer.Line client, String id, int wait) throws IOException {
+        client.command("CALL.POST", NodeFixture.CUSTOMER, id, "c=order,t=p,d=" + wait
+            + ",units=1,spread=1,first=0", "body");
+    }
+
+    /** What the client sees: the answer, or the end of its connection. */
+    private static String outcome(Peer.Line client) throws IOException {
+        try {
+            return client.message().toString();
+        } catch (EOFException | java.net.SocketException e) {
+            return UNANSWERED;
+        }
+    }
+
+    private static void sleepUntil(long from, long milliseconds) throws InterruptedException {
+        long left = from + TimeUnit.MILLISECONDS.toNanos(milliseconds) - System.nanoTime();
+        if (left > 0) {
+            TimeUnit.NANOSECONDS.sleep(left);
+        }
+    }
+
+    /** The platform's planned restart: the signal that ends it, and the kill at its earliest time. */
+    private long terminate(int deadline) {
+        long from = System.nanoTime();
+        node.signal(NodeProcess.Signal.TERM);
+        Thread killer = new Thread(() -> {
+            try {
+                sleepUntil(from, Math.min(deadline, DEADLINE_COUNTED) + KILL_BEHIND);
+                node.signal(NodeProcess.Signal.KILL);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        killer.setDaemon(true);
+        killer.start();
+        return from;
+    }
+
+    /** A client that connects in the shutdown, and asks past the time up to which a kill excuses. */
+    private void lateRequestIsAnswered(int deadline) throws Exception {
+        start(deadline);
+        long from = terminate(deadline);
+        sleepUntil(from, 200);
+        Peer.Line late = client();
+        sleepUntil(from, 950);
+        post(late, "01", deadline);
+        Peer.Line got = placeServer.accept();
+        assertEquals("01", got.message().get(2), "it is passed on");
+        assertEquals("[-ERR failed]", outcome(late), this::log);
+    }
+
+    @Test void aRequestLateInAShutdownIsAnsweredBeforeTheKillWithShortDeadlines() throws Exception {
+        lateRequestIsAnswered(1000);
+    }
+
+    @Test void aRequestLateInAShutdownIsAnsweredBeforeTheKillWithLongDeadlines() throws Exception {
+        lateRequestIsAnswered(4000);
+    }
+
+    /** What was taken before the signal is owed too: its time ends behind the kill. */
+    @Test void aRequestTakenBeforeAShutdownIsAnsweredBeforeTheKill() throws Exception {
+        int deadline = 4000;
+        start(deadline);
+        Peer.Line before = client();
+        post(before, "01", deadline);
+        Peer.Line got = placeServer.accept();
+        assertEquals("01", got.message().get(2), "it is passed on");
+        terminate(deadline);
+        assertEquals("[-ERR failed]", outcome(before), this::log);
+    }
+}
