Shutdown: all that is taken is answered before the earliest SIGKILL

With deadlines of 2.3 s a node told to end granted waits up to 3.6 s behind SIGTERM where SIGKILL may come at 3.0 s; with 4 s, 4.6 s for 3.7 s. Its class: a bound that the other side promises from below was used as if from above, and waits begun before the signal had none.

Change: ShutdownBudget states the earliest kill and, 0.3 s before it (two hold-ups of 0.15 s), the time by which answers are due, counted from the signal and not from when the loop hears of it. Requests taken before the signal are bounded by it too. At that time connections that owe nothing are ended, half a command is told so, and the process ends only when nothing is owed; before, it ended at the bound whatever was open.

EndTest, NodeTest, GoneTest, LargeValueTest, LargeBodyTest, HandoverTest, BadClientTest passed.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -237,6 +237,16 @@
         }
     }
 
+    /**
+     * Ends each connection that has no request open, as the process is about to end: half a command is told
+     * so, for its client would never hear what becomes of the rest.
+     */
+    void endAll() {
+        for (Connection c : open.toArray(new Connection[0])) {
+            c.endNow();
+        }
+    }
+
     /** Listens no more, from the next moment on at which no connection waits to be accepted. */
     void unbind() {
         unbinding = true;
@@ -321,6 +331,11 @@
             return commandsBefore;
         }
 
+        /** No request waits here for its answer, nor does the rest of a value. */
+        private boolean isNoRequest() {
+            return request == null && stream == null;
+        }
+
         /** The client has gone, also where that has not been told yet: a round may bring many ends. */
         boolean isClosed() {
             return !connection.channel.isActive();
@@ -502,6 +517,14 @@
             return slots.isEmpty() && !begun() && !deaf;
         }
 
+        private void endNow() {
+            if (!deaf && begun() && slots.stream().allMatch(Slot::isNoRequest)) {
+                malformed("the edge node ends");
+            } else {
+                finishIdle();
+            }
+        }
+
         private void finishIdle() {
             if (between()) {
                 finish(CloseReason.SHUTDOWN_IDLE);
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -41,9 +41,10 @@
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
-    /** SIGKILL comes no sooner than 0.7 s behind the longest deadline, and that counts as 3 s at least. */
-    private static final double LEAST_TO_END = 3000;
-    private static final double TO_END = 600;
+    /** A process that this one replaces has ended by so long (ms) after its earliest kill. */
+    private static final double REPLACED_ENDS = 1000;
+    /** An end that slow clients hold up comes at the latest so long (ms) after all answers were due. */
+    private static final double LAST_END = 30_000;
     /**
      * Of the sockets that may be held: files, counter, discovery and the loop's own take some, and a new
      * version that comes up beside this one has to find its part free. Clients need up to a third.
@@ -77,7 +78,8 @@
         final ClientListener.Slot slot;
         final ArrayRedisMessage command;
         final Call call;
-        final double deadline;
+        /** By then (ms) its client has to have the answer: its own time, or the end of the node's. */
+        double deadline;
         /** A large value that passes through, or null. */
         final Body body;
         final int bytes;
@@ -211,7 +213,8 @@
         try {
             if (handover.beside()) {
                 clients.bound(clientsOf(CLIENTS_BESIDE));
-                after(longestEnd(), () -> clients.bound(clientsOf(CLIENTS)));
+                after(ShutdownBudget.earliestKill(config.settings()) + REPLACED_ENDS,
+                    () -> clients.bound(clientsOf(CLIENTS)));
             }
             SocketAddress bound = ended.isDone() ? null : clients.bind(group, config.listen());
             if (bound == null) {
@@ -261,15 +264,17 @@
      * taken this one's place new connections are its own at once, and what comes on old ones is soon so.
      */
     public void drain() {
+        double due = now() + ShutdownBudget.answersDue(config.settings()); // from the signal on
         boolean succeeded = handover.succeeded();
         group.execute(() -> {
-            endsAt = now() + longestEnd();
+            endsAt = due;
             events.writeAll();
             enter(Phase.DRAINING);
             if (clients.refuse()) {
                 end(); // during the start: nothing is taken, and now nothing will be
                 return;
             }
+            requests.values().forEach(this::boundByEnd);
             if (succeeded) {
                 clients.unbind();
                 clients.close();
@@ -287,25 +292,34 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
-    /** From SIGTERM to the end (ms), at the most. */
-    private double longestEnd() {
-        double longest = config.settings().classes().stream()
-            .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
-        return Math.max(longest, LEAST_TO_END) + TO_END;
+    /** A request whose time ends later than this process's is answered by then. */
+    private void boundByEnd(Request r) {
+        double end = endsAt - WAY_BACK;
+        if (!r.over && r.deadline > end) {
+            r.deadline = end;
+            r.timer.cancel(false);
+            r.timer = after(end - now() + 1, () -> waited(r));
+        }
     }
 
-    /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
+    /**
+     * Ends when nothing is owed. All is answered when answers are due, and connections are ended then; what
+     * a slow client has still to read is waited for, but not for ever.
+     */
     private void whenIdle() {
         double late = now() - lookDue;
         if (late > LATE) {
             event(new Event.LoopLate(late));
         }
-        if (clients.idle() || now() >= endsAt) {
+        if (clients.idle() && openRequests == 0 || now() >= endsAt + LAST_END) {
             end();
-        } else {
-            lookDue = now() + END_LOOK;
-            after(END_LOOK, this::whenIdle);
+            return;
+        }
+        if (now() >= endsAt) {
+            clients.endAll();
         }
+        lookDue = now() + END_LOOK;
+        after(END_LOOK, this::whenIdle);
     }
 
     private void end() {
