Shutdown: commands that were read together are all answered before their connection ends

Found while looking for the same mistake: in a shutdown a connection ended behind its first answer, also where further commands had been read with that one; they were dropped with no answer. It now ends when nothing that was read is left. A fault in a handler answers what is open before it closes, too.

EndTest.commandsThatCameTogetherInAShutdownAreAllAnswered ends in EOF without the change and passes with it.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -477,7 +477,7 @@
             if (!slots.isEmpty() && slots.peek().stream != null) {
                 slots.peek().stream.turn(channel);
             }
-            if (slots.isEmpty() && (closing || deaf)) {
+            if (slots.isEmpty() && (deaf || closing && !begun())) {
                 finish(CloseReason.SHUTDOWN_ANSWERED);
             }
             if (ahead.held()) {
@@ -660,6 +660,8 @@
             }
             if (!(cause instanceof java.io.IOException)) {
                 node.log("client connection", cause);
+                malformed("internal error"); // what is open here is still owed an answer
+                return;
             }
             close(CloseReason.ERROR);
         }
--- a/src/test/java/willowyoke/net/EndTest.java
+++ b/src/test/java/willowyoke/net/EndTest.java
@@ -148,6 +148,51 @@
         assertTrue(told.stream().noneMatch(t -> t.startsWith("arrived")), told.toString());
     }
 
+    private static String refused(String id) {
+        String list = "c=refuse,t=p,d=900,units=2,spread=3,first=1";
+        return "*4\r\n$8\r\nCALL.GET\r\n$16\r\n" + CUSTOMER + "\r\n$2\r\n" + id + "\r\n$" + list.length()
+            + "\r\n" + list + "\r\n";
+    }
+
+    private Thread drainBesideANewProcess() {
+        new Handover(state, "n0").claim(); // connections end behind their next answer from the signal on
+        drained = true;
+        Thread draining = new Thread(node::drain);
+        draining.start();
+        while (node.taking()) {
+            Thread.onSpinWait();
+        }
+        return draining;
+    }
+
+    /** The first one's answer ended the connection, over a second one that had been read with it. */
+    @Test void commandsThatCameTogetherInAShutdownAreAllAnswered() throws Exception {
+        start();
+        Peer.Line client = client();
+        client.command("PING");
+        assertEquals(List.of("+PONG"), client.message());
+        Thread draining = drainBesideANewProcess();
+        client.write(refused("01") + refused("02") + refused("03"));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(List.of("-BUSY 1500"), client.message());
+        }
+        assertEquals(-1, client.in.read());
+        draining.join();
+    }
+
+    /** Its rest came to a process that had gone: whether it had been taken, nobody could tell. */
+    @Test void halfACommandIsToldOfTheEndOfTheProcess() throws Exception {
+        start();
+        Peer.Line client = client();
+        client.command("PING");
+        assertEquals(List.of("+PONG"), client.message());
+        Thread draining = drainBesideANewProcess();
+        client.write(refused("01").substring(0, 40));
+        assertEquals(List.of("-ERR the edge node ends"), client.message());
+        assertEquals(-1, client.in.read());
+        draining.join();
+    }
+
     /** Closed over bytes that had not been read, its connection was reset. */
     @Test void whoMakesRoomIsEndedAndNotReset() throws Exception {
         assumeTrue(Epoll.isAvailable()); // what came first is told first
