Cordons: a call that could not be kept is written again until it is

Found in the audit: a folder that failed once lost the operators' call for the next process, though this one went by it. CordonsTest.whatCouldNotBeKeptIsKeptWhenTheFolderIsBack fails without it (the file never comes).

--- a/src/main/java/willowyoke/net/Cordons.java
+++ b/src/main/java/willowyoke/net/Cordons.java
@@ -6,6 +6,8 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
@@ -36,8 +38,8 @@
     private long calls;
     /** Calls on their way to the file. */
     private int writing;
-    /** Whether the file has all calls; else it must not take back what was said. */
-    private boolean kept = true;
+    /** Calls in force that the file lacks: it must not take them back, and they are written again. */
+    private final Map<String, Boolean> unkept = new LinkedHashMap<>();
     /** As last read or written by the thread of the files. */
     private Set<String> last = Set.of();
 
@@ -55,12 +57,15 @@
             last = now;
             if (!now.equals(before)) {
                 node.later(() -> {
-                    if (asOf == calls && writing == 0 && kept) {
+                    if (asOf == calls && writing == 0 && unkept.isEmpty()) {
                         node.cordons(now);
                     }
                 });
             }
         });
+        if (writing == 0) {
+            Map.copyOf(unkept).forEach((server, out) -> write(server, out, result -> { }));
+        }
         node.after(READ_EVERY, this::start);
     }
 
@@ -71,12 +76,19 @@
             return;
         }
         calls++;
+        unkept.put(server, out);
+        write(server, out, answer);
+    }
+
+    private void write(String server, boolean out, Consumer<Result> answer) {
         writing++;
         files.execute(() -> {
             boolean done = keep(server, out);
             node.later(() -> {
                 writing--;
-                kept = done;
+                if (done) {
+                    unkept.remove(server, out); // unless the other call for it came meanwhile
+                }
                 answer.accept(done ? Result.DONE : Result.NOT_KEPT);
             });
         });
--- a/src/test/java/willowyoke/net/CordonsTest.java
+++ b/src/test/java/willowyoke/net/CordonsTest.java
@@ -50,6 +50,20 @@
         expect("cordon s0");
     }
 
+    /** A folder that could not be written for a while lost the call for the next process. */
+    @Test void whatCouldNotBeKeptIsKeptWhenTheFolderIsBack() throws Exception {
+        Files.createDirectory(file());
+        start();
+        assertEquals("503", admin(node, "POST", "/admin/cordon/s0").get(0));
+        expect("cordon s0");
+        Files.delete(file());
+        long end = System.nanoTime() + 10_000_000_000L;
+        while (!Files.exists(file()) && System.nanoTime() < end) {
+            Thread.sleep(10);
+        }
+        assertEquals("s0\n", Files.readString(file()));
+    }
+
     /** While a new version comes up each process hears what the other was told. */
     @Test void whatAnotherProcessKeepsBindsThisOne() throws Exception {
         start();
