--- a/src/main/java/willowyoke/net/AcceptFailure.java
+++ b/src/main/java/willowyoke/net/AcceptFailure.java
@@ -13,15 +13,18 @@
     private static final double PAUSE = 100;
 
     private final Node node;
+    private final Runnable resume;
 
-    AcceptFailure(Node node) {
+    /** Resume is run after the pause: it decides whether connections are accepted again. */
+    AcceptFailure(Node node, Runnable resume) {
         this.node = node;
+        this.resume = resume;
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         Channel listener = ctx.channel();
         node.log("accept", cause);
         listener.config().setAutoRead(false);
-        node.after(PAUSE, () -> listener.config().setAutoRead(true));
+        node.after(PAUSE, resume);
     }
 }
--- a/src/main/java/willowyoke/net/AdminServer.java
+++ b/src/main/java/willowyoke/net/AdminServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -67,7 +68,12 @@
         try {
             return new ServerBootstrap().group(group).channel(Transport.listener())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .handler(new AcceptFailure(node)).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .handler(new ChannelInitializer<ServerSocketChannel>() {
+                    @Override protected void initChannel(ServerSocketChannel channel) {
+                        channel.pipeline().addLast(new AcceptFailure(node,
+                            () -> channel.config().setAutoRead(true)));
+                    }
+                }).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
                         taken(channel);
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -93,7 +93,8 @@
                         return;
                     }
                     listener = channel; // on the loop: a client may come before bind has returned
-                    channel.pipeline().addLast(new Queue(), new AcceptFailure(node));
+                    channel.pipeline().addLast(new Queue(), new AcceptFailure(node,
+                        ClientListener.this::accept));
                 }
             })
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.toTheEnd())
