Shutdown: what comes when all had to be answered is refused at once

Found in the audit of ends: a request behind a value that outlives the shutdown, or of a client that goes on asking, was taken past the bound and open when the kill came. It is refused without a try. The looks for the end, and a request's last word, are scheduled before the work that may fault, so a fault keeps no process and no answer back.

EndTest.whatComesWhenAllHadToBeAnsweredIsRefusedAtOnce: without it the request was taken.

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -48,7 +48,9 @@
         /** The decision module gave no answer in time, or failed. */
         NO_DECISION,
         /** What came behind it on its connection could not be read. */
-        CONNECTION_MALFORMED
+        CONNECTION_MALFORMED,
+        /** It came when a process that ends had to have answered all. */
+        SHUTDOWN
     }
 
     /** A class of requests. */
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -228,14 +228,14 @@
      * a new connection, it is let come: ended on it, the client would have to ask elsewhere.
      */
     void closeIdle() {
+        if (!open.isEmpty()) {
+            node.after(LEAVING_SWEEP, this::closeIdle); // first: a fault below does not end the looks
+        }
         for (Connection c : open.toArray(new Connection[0])) {
             if (c.between() && (!silent.contains(c) || c.bornAt < node.now() - FIRST_COMMAND)) {
                 node.after(1, c::finishIdle); // what has come by now is read first
             }
         }
-        if (!open.isEmpty()) {
-            node.after(LEAVING_SWEEP, this::closeIdle);
-        }
     }
 
     /**
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -134,7 +134,7 @@
     private volatile SocketAddress address;
     private volatile SocketAddress control;
     /** Set at SIGTERM: by then (ms) all is answered, as the process may be killed right after. */
-    private double endsAt = Double.MAX_VALUE;
+    private volatile double endsAt = Double.MAX_VALUE;
 
     public Node(Config config, Maker maker) {
         this.config = config;
@@ -266,7 +266,7 @@
     public void drain() {
         double due = now() + ShutdownBudget.answersDue(config.settings()); // from the signal on
         boolean succeeded = handover.succeeded();
-        group.execute(() -> {
+        group.execute(() -> guarded(() -> {
             endsAt = due;
             events.writeAll();
             enter(Phase.DRAINING);
@@ -274,20 +274,19 @@
                 end(); // during the start: nothing is taken, and now nothing will be
                 return;
             }
+            lookForEnd(succeeded ? STAY_OPEN : LISTEN_ON); // first: a fault below does not keep the process
             requests.values().forEach(this::boundByEnd);
+            after(STAY_OPEN, () -> {
+                clients.close();
+                clients.closeIdle();
+            });
             if (succeeded) {
                 clients.unbind();
                 clients.close();
             } else {
                 after(LISTEN_ON, clients::unbind);
             }
-            after(STAY_OPEN, () -> {
-                clients.close();
-                clients.closeIdle();
-            });
-            lookDue = now() + (succeeded ? STAY_OPEN : LISTEN_ON);
-            after(lookDue - now(), this::whenIdle);
-        });
+        }));
         ended.join();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
@@ -315,11 +314,15 @@
             end();
             return;
         }
+        lookForEnd(END_LOOK);
         if (now() >= endsAt) {
             clients.endAll();
         }
-        lookDue = now() + END_LOOK;
-        after(END_LOOK, this::whenIdle);
+    }
+
+    private void lookForEnd(double delay) {
+        lookDue = now() + delay;
+        after(delay, this::whenIdle);
     }
 
     private void end() {
@@ -443,6 +446,10 @@
         if (!ids.add(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
+        if (now >= endsAt) {
+            refuseAtEnd(slot, call, body);
+            return null;
+        }
         double wait = call.patience() + (body == null ? 0 : body.rest(now));
         double patience = Math.max(1, Math.min(wait, endsAt - now) - WAY_BACK);
         Request r = new Request(++lastId, slot, retained(command), call, body, now + patience);
@@ -460,6 +467,18 @@
         return null;
     }
 
+    /** Refused at once: what is open when the process is killed is lost, and that may come now. */
+    private void refuseAtEnd(ClientListener.Slot slot, Call call, Body body) {
+        ids.remove(call.id());
+        if (body != null) {
+            body.drop();
+        }
+        metrics.ended(call.type(), Metrics.Outcome.THROTTLED);
+        metrics.unserved(Metrics.Outcome.THROTTLED, Gateway.EndReason.SHUTDOWN);
+        event(new Event.Answered(call.id(), Metrics.Outcome.THROTTLED, Gateway.EndReason.SHUTDOWN));
+        slot.answer(new ErrorRedisMessage("BUSY"));
+    }
+
     private static ArrayRedisMessage retained(ArrayRedisMessage command) {
         command.retain();
         return command;
@@ -467,12 +486,12 @@
 
     /** The client's wait is over: attempts still out have timed out, and the module has the last word. */
     private void waited(Request r) {
+        if (!r.over) { // first: whatever the attempts' ends lead to, the answer comes
+            r.timer = after(LAST_WORD, () -> giveUp(r, Gateway.EndReason.NO_DECISION));
+        }
         for (ServerPool.Attempt a : r.attempts.toArray(new ServerPool.Attempt[0])) {
             servers.giveUp(a, Gateway.Outcome.TIMEOUT);
         }
-        if (!r.over) {
-            r.timer = after(LAST_WORD, () -> giveUp(r, Gateway.EndReason.NO_DECISION));
-        }
     }
 
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
--- a/src/test/java/willowyoke/net/EndTest.java
+++ b/src/test/java/willowyoke/net/EndTest.java
@@ -193,6 +193,26 @@
         draining.join();
     }
 
+    /** It was taken past the bound of the shutdown, and open when the kill came. */
+    @Test void whatComesWhenAllHadToBeAnsweredIsRefusedAtOnce() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 20_000);
+        server.message();
+        server.write("*3\r\n$100000\r\nhalf");
+        assertEquals("$100000", client.line());
+        Thread draining = drainBesideANewProcess();
+        Thread.sleep(3000); // answers were due after 2400
+        get(client, "02", "refuse", 20_000);
+        Thread.sleep(100);
+        server.write("v".repeat(100_000 - 4) + "\r\n$-1\r\n$-1\r\n");
+        client.in.readNBytes(100_002); // the value
+        assertEquals(List.of("-BUSY"), client.message());
+        assertEquals(-1, client.in.read());
+        draining.join();
+        assertTrue(told.stream().noneMatch(t -> t.startsWith("arrived 2 ")), told.toString());
+    }
+
     /** Closed over bytes that had not been read, its connection was reset. */
     @Test void whoMakesRoomIsEndedAndNotReset() throws Exception {
         assumeTrue(Epoll.isAvailable()); // what came first is told first
