LifecycleGuard: one guard for sending, repeating, ending and listening, with counted invariants

The broken rule as an invariant: nothing that this node ends owes an answer. One class is asked at the moment of the act: an attempt as it is written (request over, client gone, value gone, no time, attempts used, copy out, not repeatable, window over, other group), a connection as it is ended, the process as it ends, the listener as it opens. Violations of what must hold are counted (invariant_violations_total), and told in the log with what led to them.

Related fault closed by it: the window of a keyed repeat was checked at the decision alone; the attempt could wait for a connection up to 250 ms and come behind it.

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -22,7 +22,7 @@
         CANCELLED(false), NOT_SENT(true);
 
         /** True where the work cannot have run. */
-        final boolean neverRan;
+        public final boolean neverRan;
 
         Outcome(boolean neverRan) {
             this.neverRan = neverRan;
@@ -57,7 +57,7 @@
     record RequestClass(String name, Effect effect, Group group, double aim, double deadline, double worth,
         double lateWorth, double window, boolean stream) {
         /** Whether a repeat has to stay with a part of the servers. */
-        boolean staysInGroup() {
+        public boolean staysInGroup() {
             return effect == Effect.KEYED && group != Group.ALL;
         }
     }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -67,8 +67,7 @@
     /** Those that have made room, until their clients have seen it. */
     private final Set<Connection> leaving = new LinkedHashSet<>();
     private final ReadAhead.Shared shared;
-    private Channel listener;
-    private volatile boolean refused;
+    private volatile Channel listener;
     private boolean closing;
     private boolean unbinding;
     private long accepted;
@@ -88,7 +87,7 @@
             .option(Transport.shared(), true).option(ChannelOption.RECVBUF_ALLOCATOR, accepts())
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
-                    if (refused) {
+                    if (!node.guard().mayListen()) {
                         channel.close();
                         return;
                     }
@@ -110,7 +109,7 @@
                     room();
                 }
             }).bind(address).await();
-        return refused ? null : bound.sync().channel().localAddress();
+        return listener == null ? null : bound.sync().channel().localAddress();
     }
 
     /** Accepts on until none waits: with epoll a round ended behind the first, and hid the rest. */
@@ -120,10 +119,9 @@
         return accepts.respectMaybeMoreData(false);
     }
 
-    /** Listens at no time from now on; false where it listens already. */
-    boolean refuse() {
-        refused = listener == null;
-        return refused;
+    /** Whether it listens, or did. */
+    boolean hasListened() {
+        return listener != null;
     }
 
     /** Sees the listener's queue run empty: only then nothing that waits in it is reset by a close. */
@@ -519,7 +517,7 @@
         }
 
         private void endNow() {
-            if (!deaf && begun() && slots.stream().allMatch(Slot::isNoRequest)) {
+            if (!deaf && begun() && openRequests() == 0) {
                 malformed("the edge node ends");
             } else {
                 finishIdle();
@@ -546,19 +544,29 @@
 
         /** Ends our side after what is written, then waits for the client's: a reset could eat an answer. */
         private void finish(CloseReason reason) {
-            because(reason);
-            if (!finished) {
-                finished = true;
-                deaf = true;
-                hold();
-                unread(Long.MAX_VALUE);
-                // behind all that is written: ending the output drops what a slow reader has still to get
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
-                    channel.shutdownOutput();
-                    channel.eventLoop().schedule(() -> close(CloseReason.LINGER_OVER), LINGER,
-                        TimeUnit.MILLISECONDS);
-                });
+            if (finished) {
+                return;
+            }
+            if (!node.guard().mayClose(reason, openRequests())) {
+                malformed("internal error"); // what is owed here first
+                return;
             }
+            because(reason);
+            finished = true;
+            deaf = true;
+            hold();
+            unread(Long.MAX_VALUE);
+            // behind all that is written: ending the output drops what a slow reader has still to get
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                channel.shutdownOutput();
+                channel.eventLoop().schedule(() -> close(CloseReason.LINGER_OVER), LINGER,
+                    TimeUnit.MILLISECONDS);
+            });
+        }
+
+        /** Requests that wait here for their answer. */
+        private int openRequests() {
+            return (int) slots.stream().filter(slot -> !slot.isNoRequest()).count();
         }
 
         /** Cuts off a client that has taken nothing of what is left to it since it was looked last. */
--- a/src/main/java/willowyoke/net/Event.java
+++ b/src/main/java/willowyoke/net/Event.java
@@ -80,6 +80,20 @@
         }
     }
 
+    /** An attempt was not written, though the module had decided on it. */
+    record Denied(String request, int attempt, LifecycleGuard.Denial denial) implements Event {
+        @Override public String text() {
+            return "denied request=" + request + " attempt=" + attempt + " reason=" + denial;
+        }
+    }
+
+    /** What should hold at any time did not; request is null where it is about none. */
+    record Violation(LifecycleGuard.Invariant invariant, String request) implements Event {
+        @Override public String text() {
+            return "violation invariant=" + invariant + (request == null ? "" : " request=" + request);
+        }
+    }
+
     /** The event loop ran a timer so long after it was due. */
     record LoopLate(double by) implements Event {
         @Override public String text() {
--- a/src/main/java/willowyoke/net/EventLog.java
+++ b/src/main/java/willowyoke/net/EventLog.java
@@ -42,10 +42,10 @@
         live = true;
     }
 
-    /** Takes an event; at is Unix time (ms) by the node's clock. */
+    /** Takes an event; at is Unix time (ms) by the node's clock. A violation is written at once. */
     void add(double at, Event event) {
         Entry entry = new Entry(at, event);
-        if (live) {
+        if (live || event instanceof Event.Violation) {
             write(entry);
             return;
         }
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -34,6 +34,9 @@
     private final Map<Gateway.EndReason, Long> refusals = new EnumMap<>(Gateway.EndReason.class);
     private final Map<Gateway.EndReason, Long> failures = new EnumMap<>(Gateway.EndReason.class);
     private final Map<Gateway.Outcome, Long> retries = new EnumMap<>(Gateway.Outcome.class);
+    private final Map<LifecycleGuard.Denial, Long> denials = new EnumMap<>(LifecycleGuard.Denial.class);
+    private final Map<LifecycleGuard.Invariant, Long> violations =
+        new EnumMap<>(LifecycleGuard.Invariant.class);
     private final Map<CloseReason, Long> clientCloses = new EnumMap<>(CloseReason.class);
     private final Map<CloseReason, Long> serverCloses = new EnumMap<>(CloseReason.class);
 
@@ -67,6 +70,16 @@
         retries.merge(after, 1L, Long::sum);
     }
 
+    /** An attempt was not written after all. */
+    void denied(LifecycleGuard.Denial denial) {
+        denials.merge(denial, 1L, Long::sum);
+    }
+
+    /** What should hold at any time did not. */
+    void violated(LifecycleGuard.Invariant invariant) {
+        violations.merge(invariant, 1L, Long::sum);
+    }
+
     void clientClosed(CloseReason reason) {
         clientCloses.merge(reason, 1L, Long::sum);
     }
@@ -98,6 +111,10 @@
             clientCloses);
         byReason(text, "server_closes_total", "Place servers' connections ended, by reason.", "reason",
             serverCloses);
+        byReason(text, "sends_denied_total", "Attempts not written after all, by reason.", "reason",
+            denials);
+        byReason(text, "invariant_violations_total", "Faults of this program, by invariant.",
+            "invariant", violations);
         return text.toString();
     }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -78,6 +78,8 @@
         final ClientListener.Slot slot;
         final ArrayRedisMessage command;
         final Call call;
+        /** By then (ms) its client stops waiting. */
+        final double clientEnds;
         /** By then (ms) its client has to have the answer: its own time, or the end of the node's. */
         double deadline;
         /** A large value that passes through, or null. */
@@ -85,12 +87,15 @@
         final int bytes;
         final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
         boolean over;
+        /** When (ms) it was over. */
+        double overAt;
         int out;
         Future<?> timer;
 
         Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, Body body,
-            double deadline) {
+            double deadline, double clientEnds) {
             this.id = id;
+            this.clientEnds = clientEnds;
             this.body = body;
             this.slot = slot;
             this.command = command;
@@ -121,6 +126,7 @@
     private final Cordons cordons;
     private final Metrics metrics;
     private final EventLog events = new EventLog(System.err);
+    private final LifecycleGuard guard;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
@@ -128,7 +134,6 @@
     private int openRequests;
     private long held;
     private int logged;
-    private Phase phase = Phase.STARTING;
     /** When (ms) the next look at whether all has ended is due. */
     private double lookDue;
     private volatile SocketAddress address;
@@ -139,6 +144,7 @@
     public Node(Config config, Maker maker) {
         this.config = config;
         this.maker = maker;
+        guard = new LifecycleGuard(config.settings(), this::violated);
         clients = new ClientListener(this, clientsOf(CLIENTS));
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
@@ -270,7 +276,7 @@
             endsAt = due;
             events.writeAll();
             enter(Phase.DRAINING);
-            if (clients.refuse()) {
+            if (!clients.hasListened()) {
                 end(); // during the start: nothing is taken, and now nothing will be
                 return;
             }
@@ -310,7 +316,7 @@
         if (late > LATE) {
             event(new Event.LoopLate(late));
         }
-        if (clients.idle() && openRequests == 0 || now() >= endsAt + LAST_END) {
+        if (guard.mayEnd(clients.idle(), openRequests, now() >= endsAt + LAST_END)) {
             end();
             return;
         }
@@ -331,21 +337,43 @@
         ended.complete(null);
     }
 
-    /** States have an order: what comes late for one that is over changes nothing. */
+    /** What comes late for a state that is over changes nothing. */
     private void enter(Phase next) {
-        if (next.compareTo(phase) > 0) {
-            phase = next;
+        if (guard.enter(next)) {
             event(new Event.State(next, next == Phase.DRAINING ? endsAt - now() : 0));
         }
     }
 
     /** Behind the end only the loop's own closes come. */
     private void event(Event event) {
-        if (phase != Phase.ENDED || event instanceof Event.State) {
+        if (!guard.hasEnded() || event instanceof Event.State || event instanceof Event.Violation) {
             events.add(now(), event);
         }
     }
 
+    /** What may be done to requests, connections and the process is asked here. */
+    LifecycleGuard guard() {
+        return guard;
+    }
+
+    private void violated(LifecycleGuard.Invariant invariant, String request) {
+        metrics.violated(invariant);
+        if (request != null) {
+            events.explain(request);
+        }
+        event(new Event.Violation(invariant, request));
+    }
+
+    /** Whether an attempt must not be written now. */
+    boolean denies(ServerPool.Attempt a) {
+        LifecycleGuard.Denial denial = guard.denial(a.request, a, now());
+        if (denial != null) {
+            metrics.denied(denial);
+            event(new Event.Denied(a.request.call.id(), a.number, denial));
+        }
+        return denial != null;
+    }
+
     /** A client's connection has ended. */
     void clientClosed(Event.ClientClosed closed) {
         metrics.clientClosed(closed.reason());
@@ -443,6 +471,7 @@
         if (!(call.patience() > 0 && call.patience() <= LONGEST)) {
             return "d is out of range";
         }
+        guard.taking(call.id());
         if (!ids.add(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
@@ -452,7 +481,8 @@
         }
         double wait = call.patience() + (body == null ? 0 : body.rest(now));
         double patience = Math.max(1, Math.min(wait, endsAt - now) - WAY_BACK);
-        Request r = new Request(++lastId, slot, retained(command), call, body, now + patience);
+        Request r = new Request(++lastId, slot, retained(command), call, body, now + patience,
+            now + wait);
         slot.request = r;
         held += r.bytes;
         openRequests++;
@@ -529,6 +559,10 @@
     /** The one answer of a request, and the one place where its outcome is counted. */
     private void last(Request r, RedisMessage message, Metrics.Outcome outcome,
         Gateway.EndReason reason) {
+        if (!guard.mayAnswer(r.call.id(), r.over, now() - r.clientEnds)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         event(new Event.Answered(r.call.id(), outcome, reason));
         over(r);
         metrics.ended(r.call.type(), outcome);
@@ -537,6 +571,7 @@
 
     private void over(Request r) {
         r.over = true;
+        r.overAt = now();
         if (r.body != null && !r.body.whole()) { // what is out of it cannot become a command
             r.body.drop();
             later(() -> r.attempts.forEach(a -> servers.giveUp(a, Gateway.Outcome.CANCELLED)));
@@ -566,9 +601,10 @@
 
     // ---- from servers, counter and discovery ----
 
-    /** An attempt's last byte is written. */
-    void relayed() {
+    /** The last byte of an attempt for this request is written. */
+    void relayed(Request r) {
         metrics.relayed();
+        guard.written(r.call.id(), r.over ? now() - r.overAt : 0);
     }
 
     void attemptEnded(ServerPool.Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
@@ -699,11 +735,11 @@
         if (r == null) {
             return;
         }
-        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
+        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now(),
+            servers.told(server));
         r.attempts.add(a);
         r.out++;
-        boolean gone = r.body != null && r.body.isGone() || r.slot.isClosed();
-        if (r.over || gone || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
+        if (denies(a)) {
             a.done = true;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
             return;
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -69,12 +69,15 @@
         final int number;
         final String server;
         final double sent;
+        /** Where it goes, as the list had it then; null where the pool does not use that server. */
+        final Gateway.Server place;
         boolean done;
         /** Set when it has ended. */
         Gateway.Outcome outcome;
         private Link link;
 
-        Attempt(Node.Request request, int number, String server, double sent) {
+        Attempt(Node.Request request, int number, String server, double sent, Gateway.Server place) {
+            this.place = place;
             this.request = request;
             this.number = number;
             this.server = server;
@@ -86,6 +89,7 @@
     private static final class Target {
         final String id;
         final long dial;
+        Gateway.Server told;
         final ArrayDeque<Link> idle = new ArrayDeque<>();
         final Set<Link> links = new LinkedHashSet<>();
         final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
@@ -94,9 +98,10 @@
         /** The whole list that last named it. */
         int part;
 
-        Target(String id, long dial) {
-            this.id = id;
-            this.dial = dial;
+        Target(Gateway.Server told) {
+            this.told = told;
+            id = told.id();
+            dial = told.dial();
         }
 
         /**
@@ -190,16 +195,23 @@
         Target t = targets.get(s.id());
         if (t == null || t.dial != s.dial()) {
             leave(t);
-            t = new Target(s.id(), s.dial());
+            t = new Target(s);
             targets.put(s.id(), t);
         }
         t.part = part;
+        t.told = s;
         t.up = true;
         if (t.links.isEmpty() && t.connecting == 0) {
             connect(t);
         }
     }
 
+    /** A server that is used, as the list has it, or null. */
+    Gateway.Server told(String server) {
+        Target t = targets.get(server);
+        return t == null ? null : t.told;
+    }
+
     /** Not used any more, or not listed: what is idle there goes, what is out may end. */
     void release(String server) {
         leave(targets.remove(server));
@@ -280,15 +292,15 @@
 
     /**
      * The attempt that has waited longest goes first; none is left with no connection to come or to rest.
-     * Where the site allows no cancelling, only this keeps back one whose request has ended meanwhile.
+     * What must not be sent any more is kept back: time has gone on since it was decided.
      */
     private void serve(Target t) {
         t.waiting.removeIf(a -> {
-            boolean over = a.request != null && a.request.over;
-            if (over) {
+            boolean denied = a.request != null && node.denies(a);
+            if (denied) {
                 node.later(() -> end(a, Gateway.Outcome.NOT_SENT, null, NO_LOAD));
             }
-            return over;
+            return denied;
         });
         while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), node.now(), idleLimit)) {
             t.waiting.poll();
@@ -299,7 +311,7 @@
     }
 
     void probe(String server) {
-        Attempt a = new Attempt(null, 0, server, node.now());
+        Attempt a = new Attempt(null, 0, server, node.now(), null);
         node.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
         send(a);
     }
@@ -452,7 +464,7 @@
                     written = f.isSuccess();
                 }
                 if (f.isSuccess() && a.request != null) {
-                    node.relayed();
+                    node.relayed(a.request);
                 }
             });
         }
