Fault soak: real processes, faults that overlap, and an oracle of the protocol's rules

A subcommand of the scale tool: 10 to 40 real nodes, planned restarts with the earliest kill, kills, upgrades, SIGHUP, SIGSTOP, faulty place servers, discovery and counter behind a proxy, clients that pipeline, write slowly, leave and ask late. The start of a node is shared with RealNode (NodeLaunch).

--- a/src/main/java/willowyoke/scale/AgentStandIn.java
+++ b/src/main/java/willowyoke/scale/AgentStandIn.java
@@ -40,9 +40,9 @@
  * Discovery's agent: the whole list, and watches with the changes; lists of any size, whole or torn, indented
  * or not. It falls silent on demand. All of its state lives on one loop.
  */
-final class AgentStandIn implements AutoCloseable {
+public final class AgentStandIn implements AutoCloseable {
     /** How lists are written. */
-    record Form(boolean torn, boolean indented) { }
+    public record Form(boolean torn, boolean indented) { }
 
     private static final String PATH = "/catalog/members";
     private static final long BEAT = 2;
@@ -65,7 +65,7 @@
     private boolean silent;
     final AtomicLong bytes = new AtomicLong();
 
-    AgentStandIn(EventLoopGroup group, int port, Servers servers, IntFunction<String> dial, Form form,
+    public AgentStandIn(EventLoopGroup group, int port, Servers servers, IntFunction<String> dial, Form form,
         long seed)
         throws InterruptedException {
         this.group = group;
@@ -83,12 +83,12 @@
             TimeUnit.SECONDS);
     }
 
-    int port() {
+    public int port() {
         return Loops.port(listener);
     }
 
     /** Servers change, in one version; told to all watches. */
-    void change(Set<Integer> which, Gateway.State to, long born) {
+    public void change(Set<Integer> which, Gateway.State to, long born) {
         group.execute(() -> {
             for (int server : which) {
                 health[server] = to;
@@ -101,7 +101,7 @@
     }
 
     /** Silent: open watches get nothing more, and new calls no answer. */
-    void silence(boolean on) {
+    public void silence(boolean on) {
         group.execute(() -> silent = on);
     }
 
@@ -147,7 +147,7 @@
     }
 
     /** The whole list as text, in discovery's form. */
-    byte[] whole() {
+    public byte[] whole() {
         if (whole == null) {
             List<Integer> all = new ArrayList<>();
             for (int i = 0; i < health.length; i++) {
--- a/src/main/java/willowyoke/scale/Answers.java
+++ b/src/main/java/willowyoke/scale/Answers.java
@@ -10,11 +10,11 @@
 import java.util.function.Consumer;
 
 /** One RESP connection of a stand-in: commands are begun as they come and answered in their order. */
-abstract class Answers extends ChannelInboundHandlerAdapter {
+public abstract class Answers extends ChannelInboundHandlerAdapter {
     private final ArrayDeque<String[]> owed = new ArrayDeque<>();
 
     /** Takes a command; answers on the loop, now or later, or never. */
-    abstract void command(ChannelHandlerContext ctx, List<String> words, Consumer<String> answer);
+    public abstract void command(ChannelHandlerContext ctx, List<String> words, Consumer<String> answer);
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
         List<String> words = Loops.words(message);
--- a/src/main/java/willowyoke/scale/ChangeExperiment.java
+++ b/src/main/java/willowyoke/scale/ChangeExperiment.java
@@ -49,7 +49,7 @@
             + " or less");
         require(listed > 1 && rate > 0 && changes > 0 && pause > 0,
             "--servers has to be above 1, --rate, --changes and --pause-ms above 0");
-        RealNode.run(root);
+        NodeLaunch.run(root);
         for (int size : sizes) {
             progress(size + " nodes");
             point(size);
--- a/src/main/java/willowyoke/scale/CounterStandIn.java
+++ b/src/main/java/willowyoke/scale/CounterStandIn.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 
 /** The counter: running totals by name, so many calls a second in one line, each after a delay. */
-final class CounterStandIn implements AutoCloseable {
+public final class CounterStandIn implements AutoCloseable {
     private static final double LIFE_MOST = 60_000;
     private static final int NAME_MOST = 64;
     private static final double AMOUNT_MOST = 1e9;
@@ -32,16 +32,16 @@
     private long free = System.nanoTime();
     private int sinceSwept;
     final AtomicLong calls = new AtomicLong();
-    volatile boolean silent;
+    public volatile boolean silent;
 
-    CounterStandIn(EventLoopGroup group, int port, double perSecond, double delayMs)
+    public CounterStandIn(EventLoopGroup group, int port, double perSecond, double delayMs)
         throws InterruptedException {
         perCall = Math.round(1e9 / perSecond);
         delay = Math.round(delayMs * 1e6);
         listener = Loops.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), () -> {
             List<ChannelHandler> handlers = Loops.resp();
             handlers.add(new Answers() {
-                @Override void command(ChannelHandlerContext ctx, List<String> words,
+                @Override public void command(ChannelHandlerContext ctx, List<String> words,
                     Consumer<String> answer) {
                     call(ctx, words, answer);
                 }
@@ -50,7 +50,7 @@
         });
     }
 
-    int port() {
+    public int port() {
         return Loops.port(listener);
     }
 
--- a/src/main/java/willowyoke/scale/Loops.java
+++ b/src/main/java/willowyoke/scale/Loops.java
@@ -26,7 +26,7 @@
 import java.util.function.Supplier;
 
 /** Event loops and listeners of the stand-ins; all of it on loopback. */
-final class Loops {
+public final class Loops {
     private static final int BACKLOG = 1024;
     /** More than any message of the protocol has. */
     private static final int ELEMENTS = 16;
@@ -34,12 +34,12 @@
 
     private Loops() { }
 
-    static EventLoopGroup one() {
+    public static EventLoopGroup one() {
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     }
 
     /** Listens, each connection with handlers of its own; a port that is taken is told with the port. */
-    static Channel listen(EventLoopGroup group, InetSocketAddress at, Supplier<List<ChannelHandler>> handlers)
+    public static Channel listen(EventLoopGroup group, InetSocketAddress at, Supplier<List<ChannelHandler>> handlers)
         throws InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
@@ -60,7 +60,7 @@
         return bound.channel();
     }
 
-    static ChannelFuture connect(EventLoopGroup group, InetSocketAddress to, ChannelHandler... handlers) {
+    public static ChannelFuture connect(EventLoopGroup group, InetSocketAddress to, ChannelHandler... handlers) {
         return new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY,
             true)
             .handler(new ChannelInitializer<SocketChannel>() {
@@ -70,18 +70,18 @@
             }).connect(to);
     }
 
-    static int port(Channel listener) {
+    public static int port(Channel listener) {
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
     /** Whole RESP messages. */
-    static List<ChannelHandler> resp() {
+    public static List<ChannelHandler> resp() {
         return new ArrayList<>(List.of(new RedisDecoder(), new RedisBulkStringAggregator(),
             new RedisArrayAggregator(ELEMENTS, DEPTH)));
     }
 
     /** The words of a command; empty where it is no array of bulk strings. */
-    static List<String> words(Object message) {
+    public static List<String> words(Object message) {
         List<String> words = new ArrayList<>();
         if (message instanceof ArrayRedisMessage array && !array.isNull()) {
             for (RedisMessage part : array.children()) {
@@ -94,7 +94,7 @@
         return words;
     }
 
-    static String command(String... words) {
+    public static String command(String... words) {
         StringBuilder text = new StringBuilder("*").append(words.length).append("\r\n");
         for (String word : words) {
             text.append(bulk(word));
@@ -102,7 +102,7 @@
         return text.toString();
     }
 
-    static String bulk(String value) {
+    public static String bulk(String value) {
         return "$" + value.getBytes(StandardCharsets.UTF_8).length + "\r\n" + value + "\r\n";
     }
 }
--- a/src/main/java/willowyoke/scale/NestedJson.java
+++ b/src/main/java/willowyoke/scale/NestedJson.java
@@ -8,11 +8,11 @@
 import java.util.TreeMap;
 
 /** Settings by path as the nested object that a configuration holds. */
-final class NestedJson {
+public final class NestedJson {
     private NestedJson() { }
 
     /** Members that are named 0, 1 and so on beside a count are a list. */
-    static String of(Map<String, String> keys) throws IOException {
+    public static String of(Map<String, String> keys) throws IOException {
         Map<String, Object> root = new TreeMap<>();
         for (Map.Entry<String, String> e : keys.entrySet()) {
             String[] path = e.getKey().split("\\.");
--- a/src/main/java/willowyoke/scale/NodeExperiment.java
+++ b/src/main/java/willowyoke/scale/NodeExperiment.java
@@ -105,7 +105,7 @@
         require(seconds > 0 && nodes > 0 && zones > 0 && service >= 0 && counterRate > 0 && counterDelay >= 0,
             "--seconds, --nodes, --zones, --service-ms, --counter-per-s and --counter-ms have to be above 0");
         require(serverPort >= 0 && serverPort < 65_536, "--server-port has to be a port");
-        RealNode.run(root); // told before the first point, not after it
+        NodeLaunch.run(root); // told before the first point, not after it
     }
 
     private void point(String x, int at, int listed, int rate, int asking, int changing) throws Exception {
--- a/src/main/java/willowyoke/scale/RealNode.java
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -11,6 +11,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -19,11 +20,6 @@
 
 /** A real edge node: the process that the deploy file's run line starts, and what the system tells of it. */
 final class RealNode implements AutoCloseable {
-    /** What a node may have on the days that are scored. */
-    static final int MEMORY_MB = 192;
-    private static final int SOCKETS = 1024;
-    private static final Path DEPLOY = Path.of("deploy", "balancer.toml");
-    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
     private static final Pattern KB = Pattern.compile("\\d+");
     private static final int READY_SECONDS = 30;
     private static final int END_SECONDS = 6;
@@ -51,25 +47,21 @@
     /** Starts a node among the peers at these ports; known is the list that it had, as JSON, or null. */
     static RealNode start(Path root, Map<String, String> settings, String known, int agent, int counter,
         long seed) throws IOException, InterruptedException {
-        String run = run(root);
         int port;
         try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
+        NodeLaunch.Addresses at = new NodeLaunch.Addresses("127.0.0.1:" + port, "127.0.0.1:" + agent,
+            "127.0.0.1:" + counter);
+        List<String> command = NodeLaunch.command(root);
         Path folder = Files.createTempDirectory("willowyoke-scale");
         String name = "n" + settings.get("rank");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port
-            + "\",\"discovery\":\"127.0.0.1:" + agent + "\",\"seed\":\"" + Long.toHexString(seed)
-            + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS
-            + "},\"counter\":\"127.0.0.1:" + counter + "\",\"known\":" + known + ",\"settings\":"
-            + NestedJson.of(settings) + "}");
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + SOCKETS + "; " + run)
-            .directory(root.toFile()).redirectErrorStream(true)
-            .redirectOutput(folder.resolve("log").toFile());
-        builder.environment().putAll(Map.of("EDGE_NAME", name, "EDGE_LISTEN", "127.0.0.1:" + port,
-            "EDGE_DISCOVERY", "127.0.0.1:" + agent, "EDGE_CONFIG", config.toString(), "TMPDIR",
-            Files.createDirectory(folder.resolve("tmp")).toString()));
+        Files.writeString(config, NodeLaunch.configuration(name, at, seed, known, settings));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile())
+            .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
+        builder.environment().putAll(NodeLaunch.environment(name, at, config,
+            Files.createDirectory(folder.resolve("tmp"))));
         long from = System.nanoTime();
         Process process = builder.start();
         RealNode node = new RealNode(process, folder, new InetSocketAddress("127.0.0.1", port));
@@ -79,20 +71,6 @@
         return node;
     }
 
-    /** The deploy file's run line. */
-    static String run(Path root) throws IOException {
-        Path deploy = root.resolve(DEPLOY);
-        if (!Files.isReadable(deploy)) {
-            throw new Refused("no " + deploy
-                + ": start it in the repository's folder, or name it with --root");
-        }
-        Matcher run = RUN.matcher(Files.readString(deploy));
-        if (!run.find()) {
-            throw new Refused("no run line in " + deploy);
-        }
-        return run.group(1).replace("\\\"", "\"").replace("\\\\", "\\");
-    }
-
     private void whenReady() throws IOException, InterruptedException {
         long end = System.nanoTime() + READY_SECONDS * 1_000_000_000L;
         while (System.nanoTime() < end) {
--- a/src/main/java/willowyoke/scale/Refused.java
+++ b/src/main/java/willowyoke/scale/Refused.java
@@ -1,10 +1,10 @@
 package willowyoke.scale;
 
 /** What the caller or the machine does not allow: told in one line, with exit code 2. */
-class Refused extends RuntimeException {
+public class Refused extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    Refused(String what) {
+    public Refused(String what) {
         super(what);
     }
 }
--- a/src/main/java/willowyoke/scale/ScaleCli.java
+++ b/src/main/java/willowyoke/scale/ScaleCli.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import willowyoke.scale.soak.SoakCommand;
 
 /** The command line of the scale run: experiments on the node and its module at the size of a large fleet. */
 @Command(name = "willowyoke-scale", mixinStandardHelpOptions = true, version = "0.1.0",
     description = "Measures the edge node and its decisions against the size of the fleet, on loopback.",
     subcommands = {ScaleCli.Quick.class, ModuleExperiment.class, NodeExperiment.class, FleetExperiment.class,
-        RampExperiment.class, ZoneLossExperiment.class, ChangeExperiment.class, RegionsExperiment.class},
+        RampExperiment.class, ZoneLossExperiment.class, ChangeExperiment.class, RegionsExperiment.class,
+        SoakCommand.class},
     footer = "Exit codes: 0 all measured, 1 stopped by --max-seconds or a fault, 2 not possible as asked.")
 public final class ScaleCli {
     private static final int NOT_POSSIBLE = 2;
--- a/src/main/java/willowyoke/scale/Servers.java
+++ b/src/main/java/willowyoke/scale/Servers.java
@@ -5,14 +5,14 @@
 import willowyoke.Gateway;
 
 /** The place servers of a run, by number: names, zones and cells are made once and shared by all nodes. */
-final class Servers {
+public final class Servers {
     /** Few servers drop each other's repeats: a cell is a rack's worth at most. */
     private static final int CELL = 8;
 
     private final String[] names;
     private final String[] zones;
 
-    Servers(int size, int zones) {
+    public Servers(int size, int zones) {
         names = new String[size];
         this.zones = new String[zones];
         for (int i = 0; i < size; i++) {
@@ -23,36 +23,41 @@
         }
     }
 
-    static String zoneName(int zone) {
+    public static String zoneName(int zone) {
         return "zone-" + zone;
     }
 
-    int size() {
+    public int size() {
         return names.length;
     }
 
     /** Cells lie in one zone each, and zones take turns. */
-    int zone(int server) {
+    public int zone(int server) {
         return server / CELL % zones.length;
     }
 
-    String name(int server) {
+    /** Servers of one cell drop each other's repeats. */
+    public int cell(int server) {
+        return server / CELL;
+    }
+
+    public String name(int server) {
         return names[server];
     }
 
     /** The number of a server by its name. */
-    static int number(String name) {
+    public static int number(String name) {
         return Integer.parseUnsignedInt(name, 2, name.length(), 16);
     }
 
     /** The entry of a list; startedAt is 0 where the server started long ago. */
-    Gateway.Server entry(int server, Gateway.State state, double startedAt) {
-        return new Gateway.Server(names[server], server / CELL, zones[zone(server)], state, "", startedAt, 1,
+    public Gateway.Server entry(int server, Gateway.State state, double startedAt) {
+        return new Gateway.Server(names[server], cell(server), zones[zone(server)], state, "", startedAt, 1,
             0);
     }
 
     /** Every server, up since long ago. */
-    List<Gateway.Server> whole() {
+    public List<Gateway.Server> whole() {
         List<Gateway.Server> list = new ArrayList<>(names.length);
         for (int i = 0; i < names.length; i++) {
             list.add(entry(i, Gateway.State.UP, 0));
--- a/src/main/java/willowyoke/scale/Site.java
+++ b/src/main/java/willowyoke/scale/Site.java
@@ -6,21 +6,21 @@
 import willowyoke.SettingsReader;
 
 /** The settings of a run: of no deployment, with each effect, a plan with a quota, and the counter. */
-final class Site {
+public final class Site {
     /** So many nodes share a customer. */
-    static final int SPREAD = 4;
-    static final String READ = "read";
-    static final String KEYED = "write";
-    static final String UNSAFE = "order";
-    static final String PLAN = "plan";
+    public static final int SPREAD = 4;
+    public static final String READ = "read";
+    public static final String KEYED = "write";
+    public static final String UNSAFE = "order";
+    public static final String PLAN = "plan";
     /** What clients wait (ms), and a cold server's share of its capacity and time (ms) until it is warm. */
-    static final double DEADLINE = 2000;
-    static final double COLD_SHARE = 0.25;
-    static final double WARM_AFTER = 10_000;
-    static final double OVERLOAD_FACTOR = 3;
-    static final double OVERLOAD_FOR = 1000;
-    static final double DRAIN_GRACE = 250;
-    static final double COUNTER_TIMEOUT = 80;
+    public static final double DEADLINE = 2000;
+    public static final double COLD_SHARE = 0.25;
+    public static final double WARM_AFTER = 10_000;
+    public static final double OVERLOAD_FACTOR = 3;
+    public static final double OVERLOAD_FOR = 1000;
+    public static final double DRAIN_GRACE = 250;
+    public static final double COUNTER_TIMEOUT = 80;
 
     private Site() { }
 
@@ -30,7 +30,7 @@
     }
 
     /** By path, as the settings are told; a list's length is under .count. */
-    static Map<String, String> keys(int rank, int nodes, int zones) {
+    public static Map<String, String> keys(int rank, int nodes, int zones) {
         Map<String, String> k = new LinkedHashMap<>();
         k.put("rank", "" + rank);
         k.put("group_size", "" + nodes);
--- /dev/null
+++ b/src/main/java/willowyoke/scale/soak/ClientFleet.java
@@ -0,0 +1,306 @@
+package willowyoke.scale.soak;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.RedisBulkStringAggregator;
+import io.netty.handler.codec.redis.RedisDecoder;
+import io.netty.handler.codec.redis.RedisMessage;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import willowyoke.Gateway;
+import willowyoke.scale.Loops;
+import willowyoke.scale.Site;
+
+/**
+ * Clients of all nodes on one loop: an open load, on connections that they keep. Some write slowly, send many
+ * commands at once, leave early, or connect and ask only later; all go on sending on what is open while a
+ * node ends.
+ */
+final class ClientFleet {
+    /** A request is waited for so long (ms) past its time before it counts as unanswered. */
+    private static final double UNANSWERED = 800;
+    private static final int PIECES_MOST = 4;
+    private static final int PIECE_PAUSE = 150;
+    private static final int PIPELINED_MOST = 5;
+    private static final int ASK_LATE_MOST = 900;
+    /** Customers of each set of nodes. */
+    private static final int CUSTOMERS = 8;
+    private static final double NANOS = 1e6;
+
+    /** What a client does with its next request. */
+    private enum Habit { PLAIN, SLOW, PIPELINE, LEAVE, ASK_LATE }
+
+    private final EventLoopGroup group;
+    private final RunClock clock;
+    private final SoakSettings settings;
+    private final List<NodeSlot> nodes;
+    private final List<ArrayDeque<Line>> idle = new ArrayList<>();
+    private final List<ClientRequest> requests = new ArrayList<>();
+    private final SplittableRandom random;
+    private final double pauseMs;
+    private long ids;
+    private long unasked;
+    private boolean stopped;
+
+    /** Rate is of requests a second at each node. */
+    ClientFleet(EventLoopGroup group, RunClock clock, SoakSettings settings, List<NodeSlot> nodes,
+        double rate, long seed) {
+        this.group = group;
+        this.clock = clock;
+        this.settings = settings;
+        this.nodes = nodes;
+        random = new SplittableRandom(seed);
+        pauseMs = 1000 / rate;
+        nodes.forEach(node -> idle.add(new ArrayDeque<>()));
+    }
+
+    void start() {
+        nodes.forEach(node -> group.execute(() -> next(node)));
+    }
+
+    /** No more requests; those that are open are waited for. */
+    void stop() {
+        group.execute(() -> stopped = true);
+    }
+
+    /** Whether any request is still waited for. */
+    boolean isWaiting() throws Exception {
+        return group.submit(() -> requests.stream().anyMatch(r -> r.end == ClientRequest.End.OPEN)).get();
+    }
+
+    /** All requests so far. */
+    List<ClientRequest> requests() throws Exception {
+        return group.submit(() -> List.copyOf(requests)).get();
+    }
+
+    /** Messages that came with no request open. */
+    long unasked() {
+        return unasked;
+    }
+
+    private void after(double milliseconds, Runnable what) {
+        group.schedule(what, Math.round(milliseconds * NANOS), TimeUnit.NANOSECONDS);
+    }
+
+    private void next(NodeSlot node) {
+        if (stopped) {
+            return;
+        }
+        ask(node);
+        after(-pauseMs * Math.log(1 - random.nextDouble()), () -> next(node));
+    }
+
+    private Habit habit() {
+        double chance = random.nextDouble();
+        return chance < 0.7 ? Habit.PLAIN : chance < 0.78 ? Habit.SLOW : chance < 0.86 ? Habit.PIPELINE
+            : chance < 0.94 ? Habit.LEAVE : Habit.ASK_LATE;
+    }
+
+    private void ask(NodeSlot node) {
+        Habit habit = habit();
+        Line line = habit == Habit.ASK_LATE ? null : idle.get(node.number).pollLast();
+        if (line != null) {
+            line.use(habit);
+        } else if (node.mayConnect()) {
+            connect(node, habit);
+        }
+    }
+
+    private void connect(NodeSlot node, Habit habit) {
+        Line line = new Line(node);
+        Loops.connect(group, node.address(), new RedisDecoder(), new RedisBulkStringAggregator(), line)
+            .addListener(f -> {
+                if (f.isSuccess() && habit == Habit.ASK_LATE) {
+                    after(random.nextInt(ASK_LATE_MOST), () -> line.use(Habit.PLAIN));
+                } else if (f.isSuccess()) {
+                    line.use(habit);
+                } // refused: its node is down, and the client asks elsewhere
+            });
+    }
+
+    private double patience(Gateway.RequestClass type) {
+        double chance = random.nextDouble();
+        if (chance < 0.7) {
+            return type.deadline();
+        }
+        return Math.ceil(chance < 0.9 ? type.deadline() * (0.1 + 0.9 * random.nextDouble())
+            : 20 + random.nextInt(80));
+    }
+
+    private ClientRequest request(NodeSlot node) {
+        int type = random.nextInt(settings.classes().size());
+        ClientRequest request = new ClientRequest(String.format("%016x", ++ids), node.number, node.process(),
+            settings.classes().get(type), patience(settings.classes().get(type)));
+        requests.add(request);
+        return request;
+    }
+
+    private String command(ClientRequest request) {
+        int spread = 1 + random.nextInt(Math.min(settings.nodes(), Site.SPREAD));
+        int first = Math.floorMod(request.node - random.nextInt(spread), settings.nodes());
+        boolean safe = request.type.effect() == Gateway.Effect.SAFE;
+        String list = "c=" + request.type.name() + ",t="
+            + (random.nextInt(4) == 0 ? SoakSettings.SMALL_PLAN : Site.PLAN) + ",d="
+            + (long) request.patience
+            + (request.type.effect() == Gateway.Effect.KEYED ? ",k=" + request.id : "") + ",units=1,spread="
+            + spread + ",first=" + first;
+        int set = first * Site.SPREAD + spread - 1; // a customer has the same set of nodes at any time
+        String customer = String.format("%016x", set * CUSTOMERS + random.nextInt(CUSTOMERS));
+        return safe ? Loops.command("CALL.GET", customer, request.id, list)
+            : Loops.command("CALL.POST", customer, request.id, list, "body");
+    }
+
+    /** One connection; its requests are answered in their order. */
+    private final class Line extends SimpleChannelInboundHandler<RedisMessage> {
+        private final NodeSlot node;
+        private final ArrayDeque<ClientRequest> open = new ArrayDeque<>();
+        private Channel channel;
+        private boolean left;
+        private boolean reset;
+
+        Line(NodeSlot node) {
+            this.node = node;
+        }
+
+        @Override public void handlerAdded(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+        }
+
+        void use(Habit habit) {
+            if (!channel.isActive() || stopped) {
+                return; // it has ended meanwhile
+            }
+            ClientRequest request = request(node);
+            open.add(request);
+            String command = command(request);
+            switch (habit) {
+                case SLOW -> writePieces(request, command, 1 + random.nextInt(PIECES_MOST));
+                case PIPELINE -> {
+                    StringBuilder text = new StringBuilder(command);
+                    List<ClientRequest> all = new ArrayList<>(List.of(request));
+                    for (int more = 1 + random.nextInt(PIPELINED_MOST - 1); more > 0; more--) {
+                        ClientRequest next = request(node);
+                        open.add(next);
+                        all.add(next);
+                        text.append(command(next));
+                    }
+                    write(text.toString(), all);
+                }
+                case LEAVE -> {
+                    write(command, List.of(request));
+                    after(request.patience * random.nextDouble(), () -> leave(request));
+                }
+                default -> write(command, List.of(request));
+            }
+        }
+
+        private void write(String text, List<ClientRequest> whole) {
+            channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), text)).addListener(f -> {
+                if (f.isSuccess()) {
+                    whole.forEach(this::sent);
+                }
+            });
+        }
+
+        private void sent(ClientRequest request) {
+            request.sent = clock.now();
+            after(request.patience + UNANSWERED, () -> waited(request));
+        }
+
+        /** Some pieces of a command, each after a pause. */
+        private void writePieces(ClientRequest request, String text, int pieces) {
+            if (pieces <= 1 || text.length() < 2) {
+                write(text, List.of(request));
+                return;
+            }
+            int cut = 1 + random.nextInt(text.length() - 1);
+            write(text.substring(0, cut), List.of());
+            after(random.nextInt(PIECE_PAUSE), () -> {
+                if (channel.isActive() && request.end == ClientRequest.End.OPEN) {
+                    writePieces(request, text.substring(cut), pieces - 1);
+                }
+            });
+        }
+
+        /** The wait for the answers before one does not count. */
+        private void waited(ClientRequest request) {
+            if (request.end != ClientRequest.End.OPEN) {
+                return;
+            }
+            double over = Math.max(request.deadline(), request.turn) + UNANSWERED;
+            if (open.peek() == request && clock.now() >= over - 1) {
+                end(request, ClientRequest.End.NO_ANSWER);
+                left = true;
+                channel.close();
+            } else {
+                after(UNANSWERED / 4, () -> waited(request));
+            }
+        }
+
+        private void leave(ClientRequest request) {
+            if (request.end == ClientRequest.End.OPEN) {
+                left = true;
+                channel.close();
+            }
+        }
+
+        private void end(ClientRequest request, ClientRequest.End how) {
+            request.end = how;
+            request.ended = clock.now();
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, RedisMessage answer) {
+            ClientRequest request = open.poll();
+            if (request == null) {
+                unasked++;
+                return;
+            }
+            if (answer instanceof FullBulkStringRedisMessage value && !value.isNull()) {
+                request.told = value.content().toString(StandardCharsets.US_ASCII);
+                end(request, request.told.equals("made for " + request.id) ? ClientRequest.End.SERVED
+                    : ClientRequest.End.WRONG_VALUE);
+            } else if (answer instanceof ErrorRedisMessage error) {
+                request.told = error.content();
+                end(request, request.told.startsWith("BUSY") ? ClientRequest.End.REFUSED
+                    : ClientRequest.End.FAILED);
+            } else {
+                request.told = answer.toString();
+                end(request, ClientRequest.End.FAILED);
+            }
+            if (open.isEmpty()) {
+                idle.get(node.number).add(this);
+            } else {
+                open.peek().turn = request.ended;
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            idle.get(node.number).remove(this);
+            for (ClientRequest request : open) {
+                if (left) {
+                    end(request, ClientRequest.End.CLIENT_LEFT);
+                } else if (request.sent == Double.POSITIVE_INFINITY) {
+                    end(request, ClientRequest.End.NOT_SENT);
+                } else {
+                    end(request, ClientRequest.End.CONNECTION_ENDED);
+                    request.told = reset ? "reset" : "end";
+                }
+            }
+            open.clear();
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset = true;
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/soak/ClientRequest.java
@@ -0,0 +1,60 @@
+package willowyoke.scale.soak;
+
+import willowyoke.Gateway;
+
+/** One request as its client saw it; times are milliseconds of the run, infinite until they come. */
+final class ClientRequest {
+    /** How it ended for its client. */
+    enum End {
+        /** Still waited for. */
+        OPEN,
+        SERVED, REFUSED, FAILED,
+        /** A value that no place server made for this request. */
+        WRONG_VALUE,
+        /** The node ended the connection, or reset it, before a whole answer. */
+        CONNECTION_ENDED,
+        /** The client closed its connection while it waited. */
+        CLIENT_LEFT,
+        /** Nothing came, long after its time. */
+        NO_ANSWER,
+        /** It never went out whole: its connection could not be made, or ended first. */
+        NOT_SENT
+    }
+
+    final String id;
+    final int node;
+    /** Which of the node's processes had been started last when it was sent. */
+    final int process;
+    final Gateway.RequestClass type;
+    final double patience;
+    /** When its last byte was written. */
+    double sent = Double.POSITIVE_INFINITY;
+    double ended = Double.POSITIVE_INFINITY;
+    /** When the answers before it on its connection were there; its time counts from its own sending. */
+    double turn;
+    End end = End.OPEN;
+    /** What it was told, where it was not served. */
+    String told = "";
+
+    ClientRequest(String id, int node, int process, Gateway.RequestClass type, double patience) {
+        this.id = id;
+        this.node = node;
+        this.process = process;
+        this.type = type;
+        this.patience = patience;
+    }
+
+    boolean isAnswered() {
+        return end == End.SERVED || end == End.REFUSED || end == End.FAILED || end == End.WRONG_VALUE;
+    }
+
+    /** By then its client stops waiting. */
+    double deadline() {
+        return sent + patience;
+    }
+
+    @Override public String toString() {
+        return String.format("id %s %s (%s) to n%d sent %.0f waits %.0f, %s at %.0f %s", id, type.name(),
+            type.effect(), node, sent, patience, end, ended, told);
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/soak/NodeSlot.java
@@ -0,0 +1,267 @@
+package willowyoke.scale.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Stream;
+import willowyoke.scale.NodeLaunch;
+
+/**
+ * The place of one edge node: its address and folder, and the processes that take it in turn. Restarts,
+ * upgrades and kills of one node exclude each other; what comes meanwhile is left out.
+ */
+final class NodeSlot implements AutoCloseable {
+    /** New connections go on coming for so long (ms) after SIGTERM. */
+    private static final double CONNECTS_ON = 350;
+    private static final long READY_WITHIN = 30_000;
+    private static final long LOOK = 5;
+    private static final long DOWN_TIME = 200;
+
+    /** What all nodes have in common. */
+    record Platform(RunClock clock, Path root, Path folder, SoakSettings settings, String known,
+        List<FaultProxy> discovery, List<FaultProxy> counter, FaultListener faults) { }
+
+    /** Told of what no fault of the run explains. */
+    interface FaultListener {
+        void fault(String rule, String what);
+    }
+
+    final int number;
+    private final Platform platform;
+    private final InetSocketAddress address;
+    private final Path folder;
+    private final Path log;
+    private final SplittableRandom random;
+    private final ReentrantLock changing = new ReentrantLock();
+    private final List<ProcessLife> lives = new ArrayList<>();
+    private final List<NodeProcess> processes = new ArrayList<>();
+    private volatile NodeProcess current;
+    private volatile ProcessLife life;
+    /** Until then (ms of the run) clients make new connections. */
+    private volatile double connectsUntil = Double.NEGATIVE_INFINITY;
+    private int links;
+
+    NodeSlot(int number, Platform platform, long seed) throws IOException {
+        this.number = number;
+        this.platform = platform;
+        random = new SplittableRandom(seed);
+        links = number % platform.discovery.size();
+        address = new InetSocketAddress("127.0.0.1", NodeProcess.freePort());
+        folder = Files.createDirectories(platform.folder.resolve("n" + number));
+        log = folder.resolve("log");
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    boolean mayConnect() {
+        return platform.clock.now() < connectsUntil;
+    }
+
+    /** The number of the process that was started last. */
+    int process() {
+        return life == null ? 0 : life.number;
+    }
+
+    synchronized List<ProcessLife> lives() {
+        return List.copyOf(lives);
+    }
+
+    private NodeLaunch.Addresses addresses() {
+        return new NodeLaunch.Addresses("127.0.0.1:" + address.getPort(),
+            platform.discovery.get(links).dial(), platform.counter.get(links).dial());
+    }
+
+    private Path configure() throws IOException {
+        Path config = folder.resolve("config.json");
+        Path next = folder.resolve("config.next");
+        Files.writeString(next, NodeLaunch.configuration("n" + number, addresses(), random.nextLong(),
+            platform.known, platform.settings.keys(number)));
+        return Files.move(next, config, java.nio.file.StandardCopyOption.ATOMIC_MOVE,
+            java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Starts a process; it is the node's own from here on. */
+    private void launch(boolean emptyFolder) throws IOException {
+        Path temporary = folder.resolve("tmp");
+        if (emptyFolder) {
+            delete(temporary);
+        }
+        Files.createDirectories(temporary);
+        Map<String, String> environment = new HashMap<>(NodeLaunch.environment("n" + number, addresses(),
+            configure(), temporary));
+        environment.put("EDGE_LOG", "all");
+        ProcessLife next = new ProcessLife(number, lives.size(), platform.clock.now());
+        NodeProcess process = NodeProcess.start(NodeLaunch.command(platform.root), platform.root,
+            environment, log, address);
+        synchronized (this) {
+            lives.add(next);
+            processes.add(process);
+        }
+        life = next;
+        current = process;
+    }
+
+    /** Starts the first process, and waits until it is ready. */
+    void start() throws IOException, InterruptedException {
+        launch(true);
+        ready();
+    }
+
+    private void ready() throws InterruptedException {
+        ProcessLife of = life;
+        if (current.awaitReady(READY_WITHIN)) {
+            of.ready = platform.clock.now();
+            connectsUntil = Double.POSITIVE_INFINITY;
+        } else {
+            platform.faults.fault("start", "not ready: " + of);
+        }
+    }
+
+    /** SIGTERM, SIGKILL at the earliest time that the protocol allows, and a start. */
+    void restart() throws IOException, InterruptedException {
+        if (changing.tryLock()) {
+            try {
+                terminate(current, life, true);
+                Thread.sleep(DOWN_TIME);
+                launch(true);
+                ready();
+            } finally {
+                changing.unlock();
+            }
+        }
+    }
+
+    /** SIGKILL with no word, and a start. */
+    void kill() throws IOException, InterruptedException {
+        if (changing.tryLock()) {
+            try {
+                life.killed = platform.clock.now();
+                connectsUntil = life.killed;
+                current.signal(NodeProcess.Signal.KILL);
+                current.awaitEnd(READY_WITHIN);
+                life.ended = platform.clock.now();
+                Thread.sleep(DOWN_TIME);
+                launch(true);
+                ready();
+            } finally {
+                changing.unlock();
+            }
+        }
+    }
+
+    /** A second process beside the first, which ends when the second one listens. */
+    void upgrade() throws IOException, InterruptedException {
+        if (changing.tryLock()) {
+            try {
+                NodeProcess before = current;
+                ProcessLife lifeBefore = life;
+                int binds = binds();
+                launch(false);
+                double end = platform.clock.now() + READY_WITHIN;
+                while (binds() == binds && platform.clock.now() < end && current.isAlive()) {
+                    Thread.sleep(LOOK);
+                }
+                if (binds() == binds) {
+                    platform.faults.fault("start", "beside another, not ready: " + life);
+                }
+                life.ready = platform.clock.now();
+                terminate(before, lifeBefore, false);
+            } finally {
+                changing.unlock();
+            }
+        }
+    }
+
+    private int binds() throws IOException {
+        return log().split(" bind ", -1).length;
+    }
+
+    private void terminate(NodeProcess process, ProcessLife of, boolean last) throws InterruptedException {
+        checkAlive(process, of);
+        of.terminated = platform.clock.now();
+        if (last) {
+            connectsUntil = of.terminated + CONNECTS_ON;
+        }
+        process.signal(NodeProcess.Signal.TERM);
+        double kill = of.terminated + platform.settings.earliestKill();
+        while (process.isAlive() && platform.clock.now() < kill) {
+            Thread.sleep(LOOK);
+        }
+        if (process.isAlive()) {
+            of.killed = platform.clock.now();
+            process.signal(NodeProcess.Signal.KILL);
+            process.awaitEnd(READY_WITHIN);
+        }
+        of.ended = platform.clock.now();
+    }
+
+    private void checkAlive(NodeProcess process, ProcessLife of) {
+        if (!process.isAlive()) {
+            platform.faults.fault("crash", "exit code " + process.exitCode() + ": " + of);
+        }
+    }
+
+    /** The configuration names other addresses of discovery and the counter, and the node is told. */
+    void hangup() throws IOException {
+        if (changing.tryLock()) {
+            try {
+                links = (links + 1) % platform.discovery.size();
+                configure();
+                current.signal(NodeProcess.Signal.HUP);
+            } finally {
+                changing.unlock();
+            }
+        }
+    }
+
+    /** Holds the process up for so long (ms). */
+    void pause(long milliseconds) throws InterruptedException {
+        NodeProcess process = current;
+        process.signal(NodeProcess.Signal.STOP);
+        TimeUnit.MILLISECONDS.sleep(milliseconds);
+        process.signal(NodeProcess.Signal.CONT);
+        life.heldUp += milliseconds;
+    }
+
+    /** The end of the run: a planned end like any other, with no start behind it. */
+    void finish() throws InterruptedException {
+        changing.lock();
+        try {
+            terminate(current, life, true);
+        } finally {
+            changing.unlock();
+        }
+    }
+
+    /** All that its processes have written. */
+    String log() throws IOException {
+        return current == null ? "" : current.log();
+    }
+
+    @Override public void close() {
+        processes.forEach(NodeProcess::close);
+    }
+
+    /** Deletes a folder with all that is in it. */
+    static void delete(Path folder) throws IOException {
+        if (!Files.exists(folder)) {
+            return;
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/scale/soak/SoakSettings.java
@@ -0,0 +1,89 @@
+package willowyoke.scale.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import willowyoke.Gateway;
+import willowyoke.SettingsReader;
+import willowyoke.scale.Site;
+
+/**
+ * A deployment drawn from a seed: deadlines from half a second to four, windows shorter and longer than they
+ * are, each kind of group, and a plan that clients press against. Times are milliseconds.
+ */
+public final class SoakSettings {
+    /** A plan with little room beside the usual one. */
+    static final String SMALL_PLAN = "small";
+    private static final int ZONES = 3;
+    private static final int SHORTEST = 500;
+    private static final int LONGEST = 4000;
+    private static final double AIM = 0.5;
+
+    private final int nodes;
+    private final String group;
+    private final int[] deadlines = new int[3];
+    private final int window;
+    private final List<Gateway.RequestClass> classes;
+
+    SoakSettings(int nodes, SplittableRandom random) {
+        this.nodes = nodes;
+        group = List.of("all", "zone", "cell").get(random.nextInt(3));
+        boolean brief = random.nextInt(2) == 0;
+        for (int i = 0; i < deadlines.length; i++) {
+            deadlines[i] = SHORTEST + random.nextInt((brief ? LONGEST / 3 : LONGEST) - SHORTEST);
+        }
+        window = SHORTEST / 2 + random.nextInt(2 * LONGEST);
+        classes = SettingsReader.read(keys(0)).classes();
+    }
+
+    int nodes() {
+        return nodes;
+    }
+
+    static int zones() {
+        return ZONES;
+    }
+
+    /** The settings of the node with this number, by path. */
+    Map<String, String> keys(int node) {
+        Map<String, String> keys = Site.keys(node, nodes, ZONES);
+        for (int i = 0; i < deadlines.length; i++) {
+            String at = "request_classes." + i + ".";
+            keys.put(at + "hard_limit", Integer.toString(deadlines[i]));
+            keys.put(at + "aim", Long.toString(Math.round(deadlines[i] * AIM)));
+            keys.put(at + "group", group);
+            keys.put(at + "repeat_window", Integer.toString(window));
+        }
+        keys.put("tariffs.1.name", SMALL_PLAN);
+        keys.put("tariffs.1.per_second", "5");
+        keys.put("tariffs.1.depth", "5");
+        keys.put("tariffs.1.price", "1");
+        keys.put("tariffs.1.over_cost", "1");
+        keys.put("tariffs.count", "2");
+        return keys;
+    }
+
+    /** The classes, as a node reads them. */
+    List<Gateway.RequestClass> classes() {
+        return classes;
+    }
+
+    /** After SIGTERM, how soon SIGKILL may come: the longest deadline, 3 s at most, and 0.75 s. */
+    double earliestKill() {
+        double longest = 0;
+        for (int deadline : deadlines) {
+            longest = Math.max(longest, deadline);
+        }
+        return Math.min(longest, 3000) + 750;
+    }
+
+    /** For a report's head. */
+    @Override public String toString() {
+        List<String> told = new ArrayList<>();
+        for (int deadline : deadlines) {
+            told.add(Integer.toString(deadline));
+        }
+        return "deadlines " + String.join("/", told) + ", window " + window + ", group " + group;
+    }
+}
