--- a/src/main/java/willowyoke/scale/Loops.java
+++ b/src/main/java/willowyoke/scale/Loops.java
@@ -39,8 +39,8 @@
     }
 
     /** Listens, each connection with handlers of its own; a port that is taken is told with the port. */
-    public static Channel listen(EventLoopGroup group, InetSocketAddress at, Supplier<List<ChannelHandler>> handlers)
-        throws InterruptedException {
+    public static Channel listen(EventLoopGroup group, InetSocketAddress at,
+        Supplier<List<ChannelHandler>> handlers) throws InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -60,7 +60,8 @@
         return bound.channel();
     }
 
-    public static ChannelFuture connect(EventLoopGroup group, InetSocketAddress to, ChannelHandler... handlers) {
+    public static ChannelFuture connect(EventLoopGroup group, InetSocketAddress to,
+        ChannelHandler... handlers) {
         return new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY,
             true)
             .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/willowyoke/scale/PlaceServers.java
+++ b/src/main/java/willowyoke/scale/PlaceServers.java
@@ -99,7 +99,8 @@
             }
         }
 
-        @Override public void command(ChannelHandlerContext ctx, List<String> words, Consumer<String> answer) {
+        @Override public void command(ChannelHandlerContext ctx, List<String> words,
+            Consumer<String> answer) {
             if (!words.get(0).startsWith("CALL.")) {
                 answer.accept(words.get(0).equals("INFO") ? "-NOPERM\r\n" : "-ERR unknown command\r\n");
                 return;
