--- a/src/main/java/willowyoke/scale/soak/Oracle.java
+++ b/src/main/java/willowyoke/scale/soak/Oracle.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleUnaryOperator;
 import java.util.function.Function;
 import willowyoke.Gateway;
 import willowyoke.scale.Servers;
@@ -29,9 +30,10 @@
     /** A node may be held up so long (ms) between reading its clock and writing. */
     private static final double HOLD_UP = 150;
 
-    /** What was seen, and which faults there were. */
+    /** What was seen, which faults there were, and how late something may have been noted at a time. */
     record Seen(List<ClientRequest> requests, Function<String, List<Execution>> executions,
-        Map<Integer, List<ProcessLife>> lives, List<ServerNews> news, List<double[]> discoveryFaults) { }
+        Map<Integer, List<ProcessLife>> lives, List<ServerNews> news, List<double[]> discoveryFaults,
+        DoubleUnaryOperator lag) { }
 
     private final Seen seen;
     private final Servers servers;
@@ -57,6 +59,10 @@
         return oracle.violations;
     }
 
+    private double slack(double at) {
+        return SLACK + seen.lag.applyAsDouble(at);
+    }
+
     private void broken(String rule, ClientRequest request, List<Execution> attempts) {
         StringBuilder what = new StringBuilder(request.toString());
         for (Execution a : attempts) {
@@ -79,7 +85,7 @@
             default -> { }
         }
         if (r.isAnswered() && r.sent < r.ended
-            && r.ended > Math.max(r.deadline(), r.turn) + ANSWER_LATE + SLACK) {
+            && r.ended > Math.max(r.deadline(), r.turn) + ANSWER_LATE + slack(r.ended)) {
             broken("lost, late answer", r, attempts);
         }
     }
@@ -99,7 +105,7 @@
         }
         if (!attempts.isEmpty()) {
             broken("lost, forwarded and closed", r, attempts);
-        } else if (r.ended - r.sent > CROSSING) {
+        } else if (r.ended - r.sent > CROSSING + slack(r.ended) - SLACK) {
             broken("lost, read and closed", r, attempts);
         }
     }
@@ -108,7 +114,8 @@
 
     private void repeats(ClientRequest r, List<Execution> attempts) {
         for (int i = 1; i < attempts.size(); i++) {
-            if (attempts.get(i).began < attempts.get(i - 1).ended - SLACK) {
+            if (attempts.get(i).began < attempts.get(i - 1).ended
+                - slack(attempts.get(i - 1).ended)) {
                 broken("copy, two attempts out", r, attempts);
                 break;
             }
@@ -123,7 +130,7 @@
         }
         Execution first = ran.get(0);
         for (Execution a : ran.subList(1, ran.size())) {
-            if (a.began > first.began + r.type.window() + SLACK) {
+            if (a.began > first.began + r.type.window() + slack(a.began)) {
                 broken("duplicate, behind the window", r, attempts);
                 return;
             }
@@ -146,17 +153,19 @@
 
     private void attempts(ClientRequest r, List<Execution> attempts) {
         for (Execution a : attempts) {
-            if (r.end == ClientRequest.End.CLIENT_LEFT && a.began > r.ended + SENT_AFTER_CLIENT + SLACK) {
+            if (r.end == ClientRequest.End.CLIENT_LEFT && a.began > r.ended + SENT_AFTER_CLIENT
+                + slack(a.began)) {
                 broken("lost, sent after the client had gone", r, attempts);
             }
             if (r.sent == Double.POSITIVE_INFINITY) {
                 broken("forwarded, though it never came whole", r, attempts);
-            } else if (a.patience > r.deadline() - a.began + PATIENCE_SLACK + SLACK) {
+            } else if (a.patience > r.deadline() - a.began + PATIENCE_SLACK + slack(a.began)) {
                 broken("deadline, told more than is left", r, attempts);
             }
             for (ServerNews news : seen.news) {
                 if (news.server() == a.server && a.began < news.until()
-                    && a.began > news.from() + toldWithin(news, a) + drainGrace + HOLD_UP + 2 * SLACK) {
+                    && a.began > news.from() + toldWithin(news, a) + drainGrace + HOLD_UP + SLACK
+                    + slack(a.began)) {
                     broken("drain, sent to s" + a.server + " told of at " + Math.round(news.from()), r,
                         attempts);
                 }
--- a/src/main/java/willowyoke/scale/soak/SoakRun.java
+++ b/src/main/java/willowyoke/scale/soak/SoakRun.java
@@ -32,11 +32,11 @@
 
     /** What came of a run. */
     record Report(long seed, SoakSettings settings, Size size, int faults, int processes,
-        Map<ClientRequest.End, Integer> ends, List<Violation> violations) {
+        Map<ClientRequest.End, Integer> ends, double longestLag, List<Violation> violations) {
         @Override public String toString() {
             return "seed " + seed + ": " + size.nodes + " nodes, " + processes + " processes, "
                 + size.servers + " servers, " + faults + " faults, " + settings + "; requests " + ends
-                + "; violations " + violations.size();
+                + "; own lag at most " + Math.round(longestLag) + " ms; violations " + violations.size();
         }
     }
 
@@ -56,6 +56,7 @@
     private final Path folder;
     private final Size size;
     private final RunClock clock = new RunClock();
+    private final LagMeter lag = new LagMeter(clock);
     private final ConcurrentLinkedQueue<Violation> faults = new ConcurrentLinkedQueue<>();
     private final List<AutoCloseable> open = new ArrayList<>();
     private final List<NodeSlot> nodes = new ArrayList<>();
@@ -70,6 +71,8 @@
     Report run(long seed) throws Exception {
         EventLoopGroup standIns = Loops.one();
         EventLoopGroup load = Loops.one();
+        lag.measure(standIns);
+        lag.measure(load);
         try {
             return run(seed, standIns, load);
         } finally {
@@ -168,14 +171,14 @@
         nodes.forEach(node -> lives.put(node.number, node.lives()));
         List<Violation> violations = new ArrayList<>(faults);
         for (Violation found : Oracle.check(new Oracle.Seen(requests, servers::of, lives, injector.news(),
-            injector.discoveryFaults()), names, Site.DRAIN_GRACE)) {
+            injector.discoveryFaults(), lag::at), names, Site.DRAIN_GRACE)) {
             violations.add(withLog(found, requests));
         }
         violations.addAll(processes(lives));
         Map<ClientRequest.End, Integer> ends = new EnumMap<>(ClientRequest.End.class);
         requests.forEach(r -> ends.merge(r.end, 1, Integer::sum));
         return new Report(seed, settings, size, faultCount,
-            lives.values().stream().mapToInt(List::size).sum(), ends, violations);
+            lives.values().stream().mapToInt(List::size).sum(), ends, lag.longest(), violations);
     }
 
     /** What the node wrote of the request that a violation names. */
