--- a/src/main/java/willowyoke/scale/soak/ClientFleet.java
+++ b/src/main/java/willowyoke/scale/soak/ClientFleet.java
@@ -32,6 +32,9 @@
     private static final int PIECE_PAUSE = 150;
     private static final int PIPELINED_MOST = 5;
     private static final int ASK_LATE_MOST = 900;
+    /** Connections that come to a node while it is told to end, in so long (ms), and ask only later. */
+    private static final int LATE_CONNECTIONS = 8;
+    private static final int LATE_CONNECTIONS_IN = 330;
     /** Customers of each set of nodes. */
     private static final int CUSTOMERS = 8;
     private static final double NANOS = 1e6;
@@ -99,6 +102,15 @@
         after(-pauseMs * Math.log(1 - random.nextDouble()), () -> next(node));
     }
 
+    /** The front brings clients in for a while after a node has been told to end. */
+    void nodeEnds(NodeSlot node) {
+        group.execute(() -> {
+            for (int i = 0; i < LATE_CONNECTIONS && !stopped; i++) {
+                after(random.nextInt(LATE_CONNECTIONS_IN), () -> connect(node, Habit.ASK_LATE));
+            }
+        });
+    }
+
     private Habit habit() {
         double chance = random.nextDouble();
         return chance < 0.7 ? Habit.PLAIN : chance < 0.78 ? Habit.SLOW : chance < 0.86 ? Habit.PIPELINE
--- a/src/main/java/willowyoke/scale/soak/FaultPlan.java
+++ b/src/main/java/willowyoke/scale/soak/FaultPlan.java
@@ -15,7 +15,7 @@
         DISCOVERY_SILENT(1), DISCOVERY_HOLD(1), DISCOVERY_RESET(1), COUNTER_SILENT(2), COUNTER_HOLD(1),
         COUNTER_RESET(1),
         /** Many nodes are told to end while many servers hang. */
-        ROLL(2);
+        ROLL(6);
 
         final int weight;
 
@@ -31,7 +31,7 @@
     private static final double LONGEST = 6000;
     private static final int PAUSE_MOST = 150;
     private static final double SERVERS_AT_ONCE = 0.3;
-    private static final double ROLLED_AT_ONCE = 0.3;
+    private static final double ROLLED_AT_ONCE = 0.4;
 
     private FaultPlan() { }
 
--- a/src/main/java/willowyoke/scale/soak/NodeSlot.java
+++ b/src/main/java/willowyoke/scale/soak/NodeSlot.java
@@ -48,6 +48,7 @@
     private volatile ProcessLife life;
     /** Until then (ms of the run) clients make new connections. */
     private volatile double connectsUntil = Double.NEGATIVE_INFINITY;
+    private volatile Runnable whenTerminated = () -> { };
     private int links;
 
     NodeSlot(int number, Platform platform, long seed) throws IOException {
@@ -64,6 +65,11 @@
         return address;
     }
 
+    /** Run as its process is told to end. */
+    void whenTerminated(Runnable what) {
+        whenTerminated = what;
+    }
+
     boolean mayConnect() {
         return platform.clock.now() < connectsUntil;
     }
@@ -194,6 +200,7 @@
             connectsUntil = of.terminated + CONNECTS_ON;
         }
         process.signal(NodeProcess.Signal.TERM);
+        whenTerminated.run();
         double kill = of.terminated + platform.settings.earliestKill();
         while (process.isAlive() && platform.clock.now() < kill) {
             Thread.sleep(LOOK);
--- a/src/main/java/willowyoke/scale/soak/SoakRun.java
+++ b/src/main/java/willowyoke/scale/soak/SoakRun.java
@@ -103,6 +103,7 @@
         }
         together(STARTED_TOGETHER, NodeSlot::start);
         ClientFleet clients = new ClientFleet(load, clock, settings, nodes, size.rate, random.nextLong());
+        nodes.forEach(node -> node.whenTerminated(() -> clients.nodeEnds(node)));
         clients.start();
         double from = clock.now() + QUIET;
         double to = from + size.seconds * 1000.0;
