--- a/src/main/java/willowyoke/scale/soak/SoakRun.java
+++ b/src/main/java/willowyoke/scale/soak/SoakRun.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import willowyoke.scale.AgentStandIn;
 import willowyoke.scale.CounterStandIn;
 import willowyoke.scale.Loops;
@@ -51,6 +52,8 @@
     /** A restarted process is ready within this (ms), nine times in ten. */
     private static final double READY_SOON = 10_000;
     private static final int LOG_LINES = 20;
+    /** What a node writes of exceptions of its own; those at place servers' answers are the servers'. */
+    private static final Pattern FAULT = Pattern.compile("(event|module|client connection): .*");
 
     private final Path root;
     private final Path folder;
@@ -207,8 +210,8 @@
         for (NodeSlot node : nodes) {
             node.log().lines().filter(line -> line.contains(" violation ")).limit(LOG_LINES).forEach(line ->
                 violations.add(new Violation("invariant", "n" + node.number + " " + line)));
-            node.log().lines().filter(line -> line.matches("(event|module|client connection): .*")).limit(LOG_LINES).forEach(line ->
-                    violations.add(new Violation("fault in the node", "n" + node.number + " " + line)));
+            node.log().lines().filter(line -> FAULT.matcher(line).matches()).limit(LOG_LINES).forEach(line ->
+                violations.add(new Violation("fault in the node", "n" + node.number + " " + line)));
         }
         return violations;
     }
