Soak: one way to exclude changes of a node, one way to delete its folder, dead code out

Found on reading the change again: four copies of a lock's frame in NodeSlot, a folder's deletion that stood in RealNode too, and members that nothing read.

--- a/src/main/java/willowyoke/scale/NodeLaunch.java
+++ b/src/main/java/willowyoke/scale/NodeLaunch.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** How a real edge node is started on the platform: the deploy file's run line, and what it is told. */
 public final class NodeLaunch {
@@ -54,4 +56,16 @@
         return Map.of("EDGE_NAME", name, "EDGE_LISTEN", at.listen, "EDGE_CONFIG", config.toString(),
             "TMPDIR", temporary.toString());
     }
+
+    /** Deletes a node's folder with all that is in it; nothing where there is none. */
+    public static void delete(Path folder) throws IOException {
+        if (!Files.exists(folder)) {
+            return;
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
 }
--- a/src/main/java/willowyoke/scale/RealNode.java
+++ b/src/main/java/willowyoke/scale/RealNode.java
@@ -10,7 +10,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -154,27 +153,16 @@
             process.destroyForcibly();
             Thread.currentThread().interrupt();
         }
-        delete();
+        NodeLaunch.delete(folder);
     }
 
     /** At the end of the tool itself: at once, and nothing is left. */
     private void kill() {
         try {
             process.destroyForcibly().waitFor();
-            delete();
+            NodeLaunch.delete(folder);
         } catch (IOException | InterruptedException e) {
             System.err.println("scale: " + folder + " is left");
         }
     }
-
-    private void delete() throws IOException {
-        if (!Files.exists(folder)) {
-            return;
-        }
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(file);
-            }
-        }
-    }
 }
--- a/src/main/java/willowyoke/scale/soak/ClientFleet.java
+++ b/src/main/java/willowyoke/scale/soak/ClientFleet.java
@@ -51,7 +51,6 @@
     private final SplittableRandom random;
     private final double pauseMs;
     private long ids;
-    private long unasked;
     private boolean stopped;
 
     /** Rate is of requests a second at each node. */
@@ -85,11 +84,6 @@
         return group.submit(() -> List.copyOf(requests)).get();
     }
 
-    /** Messages that came with no request open. */
-    long unasked() {
-        return unasked;
-    }
-
     private void after(double milliseconds, Runnable what) {
         group.schedule(what, Math.round(milliseconds * NANOS), TimeUnit.NANOSECONDS);
     }
@@ -273,8 +267,7 @@
         @Override protected void channelRead0(ChannelHandlerContext ctx, RedisMessage answer) {
             ClientRequest request = open.poll();
             if (request == null) {
-                unasked++;
-                return;
+                return; // told of its end while it rests
             }
             if (answer instanceof FullBulkStringRedisMessage value && !value.isNull()) {
                 request.told = value.content().toString(StandardCharsets.US_ASCII);
--- a/src/main/java/willowyoke/scale/soak/FaultyServers.java
+++ b/src/main/java/willowyoke/scale/soak/FaultyServers.java
@@ -111,11 +111,6 @@
         return executions.getOrDefault(request, List.of());
     }
 
-    /** All attempts so far, by request. */
-    Map<String, List<Execution>> all() {
-        return Collections.unmodifiableMap(executions);
-    }
-
     private static void reset(Channel channel) {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
         channel.close();
--- a/src/main/java/willowyoke/scale/soak/NodeProcess.java
+++ b/src/main/java/willowyoke/scale/soak/NodeProcess.java
@@ -28,7 +28,6 @@
     private final Thread killer;
     private final Path log;
     private final InetSocketAddress address;
-    private final long startedNanos = System.nanoTime();
 
     private NodeProcess(Process process, Path log, InetSocketAddress address) {
         this.process = process;
@@ -67,11 +66,6 @@
         return address;
     }
 
-    /** When it was started, by {@link System#nanoTime}. */
-    public long startedNanos() {
-        return startedNanos;
-    }
-
     /** Waits until it answers PING; false where it has ended, or does not within so many milliseconds. */
     public boolean awaitReady(long milliseconds) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
--- a/src/main/java/willowyoke/scale/soak/NodeSlot.java
+++ b/src/main/java/willowyoke/scale/soak/NodeSlot.java
@@ -5,14 +5,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
-import java.util.stream.Stream;
 import willowyoke.scale.NodeLaunch;
 
 /**
@@ -101,7 +99,7 @@
     private void launch(boolean emptyFolder) throws IOException {
         Path temporary = folder.resolve("tmp");
         if (emptyFolder) {
-            delete(temporary);
+            NodeLaunch.delete(temporary);
         }
         Files.createDirectories(temporary);
         Map<String, String> environment = new HashMap<>(NodeLaunch.environment("n" + number, addresses(),
@@ -134,59 +132,63 @@
         }
     }
 
-    /** SIGTERM, SIGKILL at the earliest time that the protocol allows, and a start. */
-    void restart() throws IOException, InterruptedException {
+    /** A change of the node's process. */
+    private interface Change {
+        void make() throws IOException, InterruptedException;
+    }
+
+    /** Makes a change unless another one goes on. */
+    private void exclusively(Change change) throws IOException, InterruptedException {
         if (changing.tryLock()) {
             try {
-                terminate(current, life, true);
-                Thread.sleep(DOWN_TIME);
-                launch(true);
-                ready();
+                change.make();
             } finally {
                 changing.unlock();
             }
         }
     }
 
+    /** SIGTERM, SIGKILL at the earliest time that the protocol allows, and a start. */
+    void restart() throws IOException, InterruptedException {
+        exclusively(() -> {
+            terminate(current, life, true);
+            Thread.sleep(DOWN_TIME);
+            launch(true);
+            ready();
+        });
+    }
+
     /** SIGKILL with no word, and a start. */
     void kill() throws IOException, InterruptedException {
-        if (changing.tryLock()) {
-            try {
-                life.killed = platform.clock.now();
-                connectsUntil = life.killed;
-                current.signal(NodeProcess.Signal.KILL);
-                current.awaitEnd(READY_WITHIN);
-                life.ended = platform.clock.now();
-                Thread.sleep(DOWN_TIME);
-                launch(true);
-                ready();
-            } finally {
-                changing.unlock();
-            }
-        }
+        exclusively(() -> {
+            life.killed = platform.clock.now();
+            connectsUntil = life.killed;
+            current.signal(NodeProcess.Signal.KILL);
+            current.awaitEnd(READY_WITHIN);
+            life.ended = platform.clock.now();
+            Thread.sleep(DOWN_TIME);
+            launch(true);
+            ready();
+        });
     }
 
     /** A second process beside the first, which ends when the second one listens. */
     void upgrade() throws IOException, InterruptedException {
-        if (changing.tryLock()) {
-            try {
-                NodeProcess before = current;
-                ProcessLife lifeBefore = life;
-                int binds = binds();
-                launch(false);
-                double end = platform.clock.now() + READY_WITHIN;
-                while (binds() == binds && platform.clock.now() < end && current.isAlive()) {
-                    Thread.sleep(LOOK);
-                }
-                if (binds() == binds) {
-                    platform.faults.fault("start", "beside another, not ready: " + life);
-                }
-                life.ready = platform.clock.now();
-                terminate(before, lifeBefore, false);
-            } finally {
-                changing.unlock();
+        exclusively(() -> {
+            NodeProcess before = current;
+            ProcessLife lifeBefore = life;
+            int binds = binds();
+            launch(false);
+            double end = platform.clock.now() + READY_WITHIN;
+            while (binds() == binds && platform.clock.now() < end && current.isAlive()) {
+                Thread.sleep(LOOK);
             }
-        }
+            if (binds() == binds) {
+                platform.faults.fault("start", "beside another, not ready: " + life);
+            }
+            life.ready = platform.clock.now();
+            terminate(before, lifeBefore, false);
+        });
     }
 
     private int binds() throws IOException {
@@ -220,16 +222,12 @@
     }
 
     /** The configuration names other addresses of discovery and the counter, and the node is told. */
-    void hangup() throws IOException {
-        if (changing.tryLock()) {
-            try {
-                links = (links + 1) % platform.discovery.size();
-                configure();
-                current.signal(NodeProcess.Signal.HUP);
-            } finally {
-                changing.unlock();
-            }
-        }
+    void hangup() throws IOException, InterruptedException {
+        exclusively(() -> {
+            links = (links + 1) % platform.discovery.size();
+            configure();
+            current.signal(NodeProcess.Signal.HUP);
+        });
     }
 
     /** Holds the process up for so long (ms). */
@@ -238,7 +236,6 @@
         process.signal(NodeProcess.Signal.STOP);
         TimeUnit.MILLISECONDS.sleep(milliseconds);
         process.signal(NodeProcess.Signal.CONT);
-        life.heldUp += milliseconds;
     }
 
     /** The end of the run: a planned end like any other, with no start behind it. */
@@ -259,16 +256,4 @@
     @Override public void close() {
         processes.forEach(NodeProcess::close);
     }
-
-    /** Deletes a folder with all that is in it. */
-    static void delete(Path folder) throws IOException {
-        if (!Files.exists(folder)) {
-            return;
-        }
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(file);
-            }
-        }
-    }
 }
--- a/src/main/java/willowyoke/scale/soak/ProcessLife.java
+++ b/src/main/java/willowyoke/scale/soak/ProcessLife.java
@@ -10,8 +10,6 @@
     /** When it was killed, while it ran. */
     double killed = Double.POSITIVE_INFINITY;
     double ended = Double.POSITIVE_INFINITY;
-    /** Held up by SIGSTOP, in sum. */
-    double heldUp;
 
     ProcessLife(int node, int number, double started) {
         this.node = node;
--- a/src/main/java/willowyoke/scale/soak/SoakCommand.java
+++ b/src/main/java/willowyoke/scale/soak/SoakCommand.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import willowyoke.scale.NodeLaunch;
 import willowyoke.scale.Refused;
 
 /** The fault soak on the command line: a run for each seed, and exit code 1 where a rule was broken. */
@@ -82,7 +83,7 @@
             return report.violations().isEmpty();
         } finally {
             if (keep == null) {
-                NodeSlot.delete(folder);
+                NodeLaunch.delete(folder);
             }
         }
     }
