--- a/src/main/java/quotagateway/transport/ConfiguredAddress.java
+++ b/src/main/java/quotagateway/transport/ConfiguredAddress.java
@@ -25,4 +25,9 @@
     public boolean isSameGeneration(ConfiguredAddress other) {
         return generation == other.generation;
     }
+
+    /** Whether this one comes from a later configuration. */
+    public boolean isNewerThan(ConfiguredAddress other) {
+        return generation > other.generation;
+    }
 }
--- a/src/test/java/quotagateway/node/ReloadTest.java
+++ b/src/test/java/quotagateway/node/ReloadTest.java
@@ -19,6 +19,9 @@
 
 /** SIGHUP and new configurations while a node runs. */
 class ReloadTest extends NodeFixture {
+    /** More than are handed over as one: the first part comes before the list has ended. */
+    private static final int ENTRIES_OF_A_LIST_IN_PARTS = 1100;
+
     @TempDir
     Path folder;
 
@@ -32,10 +35,18 @@
 
     private static void answerListCall(Peer.Connection connection, String list) throws IOException {
         // another discovery has versions of its own: the complete list is asked for
-        assertEquals("GET /catalog/members HTTP/1.1", connection.readLine());
+        readRequestHead(connection, "GET /catalog/members HTTP/1.1");
+        respond(connection, list);
+    }
+
+    private static void readRequestHead(Peer.Connection connection, String requestLine) throws IOException {
+        assertEquals(requestLine, connection.readLine());
         while (!connection.readLine().isEmpty()) {
             assertTrue(connection.socket.isConnected());
         }
+    }
+
+    private static void respond(Peer.Connection connection, String list) throws IOException {
         connection.write("HTTP/1.1 200 OK\r\ncontent-length: " + list.length() + "\r\n\r\n" + list);
     }
 
@@ -55,6 +66,37 @@
         }
     }
 
+    /**
+     * A configuration moves discovery, and the new agent's list is so long that it comes in parts. Its first part says
+     * that s0 drains. Then the former agent, which lags behind, sends a change that still has s0 as active. The node
+     * took that as the newest, and sent requests to an endpoint that it had been told to leave. What the former agent
+     * says of endpoints that leave is still heard.
+     */
+    @Test
+    void formerAgentDoesNotSetAnEndpointUpThatTheNewOneNamedAsDraining() throws Exception {
+        start();
+        try (Peer newPeer = new Peer()) {
+            node.reload(() -> configWith(newPeer, counterPeer));
+            Peer.Connection connection = newPeer.awaitConnection();
+            readRequestHead(connection, "GET /catalog/members HTTP/1.1");
+            StringBuilder entries = new StringBuilder(entry("s0", endpointPeer.address(), "leaving"));
+            for (int i = 0; i < ENTRIES_OF_A_LIST_IN_PARTS; i++) {
+                entries.append(',').append(entry("h" + i, endpointPeer.address(), "leaving"));
+            }
+            String longList = list(7, true, entries.toString());
+            String begun = longList.substring(0, longList.length() - 2);
+            connection.write("HTTP/1.1 200 OK\r\ncontent-length: " + longList.length() + "\r\n\r\n" + begun);
+            String firstPart = policyEvents.poll(10, TimeUnit.SECONDS);
+            assertTrue(firstPart.startsWith("changes s0 DRAINING h0 DRAINING"), firstPart);
+            pushToWatch(list(
+                    42,
+                    false,
+                    entry("s0", endpointPeer.address(), "active"),
+                    entry("s1", endpointPeer.address(), "leaving")));
+            expectEvent("changes s1 DRAINING");
+        }
+    }
+
     /** The signal may come while the node comes up, when the old file has been read already. */
     @Test
     void reloadDuringTheStartMovesTheWatch() throws Exception {
