A watch of a former discovery agent goes on from that agent's own version

Seen: a call for the whole list that was open at the former agent as SIGHUP moved discovery, and that ended after the new agent had told its version, was followed by a watch there from the new agent's version. The former agent then leaves out what has changed in between, a drain among it; where the new agent had told nothing yet the former connection was ended, and no watch stood. Cause: DiscoveryConnection asked the client for the version, which is that of the newest address. Mend: each connection goes on from the version of the list that came on it. Test on loopback: ReloadTest, seen to fail (since=7 in place of since=50).

--- a/src/main/java/quotagateway/discovery/DiscoveryClient.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryClient.java
@@ -27,7 +27,7 @@
  */
 public final class DiscoveryClient {
     /** No list is known that a watch could go on from, so the whole list is asked for. */
-    private static final long NO_VERSION = -1;
+    static final long NO_VERSION = -1;
     /** How often (ms) the deadline of the connection is looked at. */
     private static final double CHECK_INTERVAL_MS = 100;
     /**
@@ -102,7 +102,8 @@
     /** The version of the saved list is of use only to the agent that the node was started with. */
     private void readSaved(CachedEndpointList saved) {
         try {
-            saved.read(lists.newParser(ConfiguredAddress.initial(address.address())));
+            saved.read(lists.newSource(ConfiguredAddress.initial(address.address()))
+                    .parser());
         } catch (IOException | RuntimeException e) {
             loop.logFailure("cached endpoint list", e); // the agent has another
         }
@@ -165,7 +166,7 @@
     }
 
     private DiscoveryConnection newConnection(ConfiguredAddress target) {
-        return new DiscoveryConnection(loop, this, target, lists.newParser(target), random);
+        return new DiscoveryConnection(loop, this, lists.newSource(target), random);
     }
 
     private void onConnectFailed(ConfiguredAddress target) {
@@ -189,12 +190,7 @@
         return address.isSameGeneration(source);
     }
 
-    /** Whether a list is known that a watch can go on from. */
-    boolean hasVersion() {
-        return version >= 0;
-    }
-
-    /** The version of the last list or change of the current address. */
+    /** The version of the last list or change of the current address, or {@link #NO_VERSION}. */
     long version() {
         return version;
     }
--- a/src/main/java/quotagateway/discovery/DiscoveryConnection.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryConnection.java
@@ -30,7 +30,7 @@
 
     private final EventLoopContext loop;
     private final DiscoveryClient client;
-    private final ConfiguredAddress source;
+    private final EndpointListForwarder.Source lists;
     private final EndpointListParser parser;
     private final SplittableRandom random;
     private final WatchTimeout timeout = new WatchTimeout();
@@ -49,19 +49,18 @@
     DiscoveryConnection(
             EventLoopContext loop,
             DiscoveryClient client,
-            ConfiguredAddress source,
-            EndpointListParser parser,
+            EndpointListForwarder.Source lists,
             SplittableRandom random) {
         this.loop = loop;
         this.client = client;
-        this.source = source;
-        this.parser = parser;
+        this.lists = lists;
+        parser = lists.parser();
         this.random = random;
     }
 
     /** The address that the connection was opened to. */
     ConfiguredAddress source() {
-        return source;
+        return lists.address();
     }
 
     /** By when (ms of the node's clock) something has to come. */
@@ -76,23 +75,24 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        if (!client.isCurrent(source)) { // the address was replaced while the connection came up
+        if (!client.isCurrent(source())) { // the address was replaced while the connection came up
             ctx.close();
             return;
         }
         channel = ctx.channel();
         client.onConnected(this);
-        sendRequest(ctx);
+        sendRequest(ctx, client.version());
     }
 
-    private void sendRequest(ChannelHandlerContext ctx) {
-        watching = client.hasVersion();
-        client.logStep(source, watching ? Step.WATCH_REQUESTED : Step.LIST_REQUESTED);
+    /** Asks for a watch from a version on, or for the whole list where there is none. */
+    private void sendRequest(ChannelHandlerContext ctx, long version) {
+        watching = version > DiscoveryClient.NO_VERSION;
+        client.logStep(source(), watching ? Step.WATCH_REQUESTED : Step.LIST_REQUESTED);
         watchAnswered = false;
         timeout.onRequest(loop.now(), client.nextAnswerTimeoutMs());
-        InetSocketAddress address = source.address();
+        InetSocketAddress address = source().address();
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.GET, watching ? PATH + "?follow=1&since=" + client.version() : PATH);
+                HttpVersion.HTTP_1_1, HttpMethod.GET, watching ? PATH + "?follow=1&since=" + version : PATH);
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         ctx.writeAndFlush(request);
     }
@@ -101,7 +101,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
         if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
             failed = true; // whatever its body is, and even if that never ends
-            client.onRefused(source);
+            client.onRefused(source());
             ctx.close();
         }
         if (!failed
@@ -138,15 +138,20 @@
 
     private void onAnswered() {
         watchAnswered = watching;
-        if (client.isCurrent(source)) {
+        if (client.isCurrent(source())) {
             timeout.onAnswered();
             client.onAnswered();
         }
     }
 
+    /**
+     * The watch goes on from the whole list that has come on this connection. Versions belong to an agent: the client's
+     * may be that of a new address meanwhile, and would have a former agent leave out what has changed.
+     */
     private void onResponseEnd(ChannelHandlerContext ctx) {
-        if (!watching && client.hasVersion() && !parser.isInsideList()) {
-            sendRequest(ctx); // the whole list is here; the watch goes on from it
+        boolean hasList = lists.version() > DiscoveryClient.NO_VERSION && !parser.isInsideList();
+        if (!watching && hasList) {
+            sendRequest(ctx, lists.version());
         } else {
             ctx.close();
         }
--- a/src/main/java/quotagateway/discovery/EndpointListForwarder.java
+++ b/src/main/java/quotagateway/discovery/EndpointListForwarder.java
@@ -32,16 +32,34 @@
         newestHeard = ConfiguredAddress.initial(null);
     }
 
-    /** A parser for the lists of one connection, or for the one list that was saved. */
-    EndpointListParser newParser(ConfiguredAddress source) {
-        return new EndpointListParser(new Source(source), maxEndpoints);
+    /** The lists of one connection to an agent, or the one list that was saved. */
+    Source newSource(ConfiguredAddress address) {
+        return new Source(address);
     }
 
-    private final class Source implements EndpointListHandler {
+    /** Where lists come from: they are read by its parser, and handed on as far as this source is still believed. */
+    final class Source implements EndpointListHandler {
         private final ConfiguredAddress address;
+        private final EndpointListParser parser;
+        private long version = DiscoveryClient.NO_VERSION;
 
-        Source(ConfiguredAddress address) {
+        private Source(ConfiguredAddress address) {
             this.address = address;
+            parser = new EndpointListParser(this, maxEndpoints);
+        }
+
+        /** The address that its connection was opened to. */
+        ConfiguredAddress address() {
+            return address;
+        }
+
+        EndpointListParser parser() {
+            return parser;
+        }
+
+        /** The version of the last list or change that came from here, or {@link DiscoveryClient#NO_VERSION}. */
+        long version() {
+            return version;
         }
 
         @Override
@@ -79,11 +97,12 @@
         }
 
         @Override
-        public void onListEnded(double version, boolean complete, boolean removesUnnamed) {
+        public void onListEnded(double listVersion, boolean complete, boolean removesUnnamed) {
             if (removesUnnamed && lastStarted == this) {
                 listener.onEndpointListCompleted();
             }
-            client.onListEnded(address, version, complete);
+            version = Double.isNaN(listVersion) ? version : (long) listVersion;
+            client.onListEnded(address, listVersion, complete);
         }
 
         @Override
--- a/src/test/java/quotagateway/node/ReloadTest.java
+++ b/src/test/java/quotagateway/node/ReloadTest.java
@@ -97,6 +97,36 @@
         }
     }
 
+    /**
+     * The former agent is asked for its whole list as the configuration moves discovery, and the new agent's first
+     * answer is a change, so that both stay connected. The former agent's list then ends, and the watch that follows
+     * there named the new agent's version, which means nothing to the former one: it would leave out what has changed.
+     */
+    @Test
+    void watchOfTheFormerAgentGoesOnFromItsOwnVersion() throws Exception {
+        start();
+        discardWatch();
+        Peer.Connection former = discoveryPeer.awaitConnection();
+        readRequestHead(former, "GET /catalog/members HTTP/1.1");
+        try (Peer newPeer = new Peer()) {
+            node.reload(() -> configWith(newPeer, counterPeer));
+            answerListCall(newPeer.awaitConnection(), list(7, false, entry("s1", endpointPeer.address(), "leaving")));
+            expectEvent("discovery failed");
+            expectEvent("changes s1 DRAINING");
+            respond(former, list(50, true, entry("s0", endpointPeer.address(), "active")));
+            readRequestHead(former, "GET /catalog/members?follow=1&since=50 HTTP/1.1");
+        }
+    }
+
+    /** The agent does not know the version any more, so that the node asks it for its whole list. */
+    private void discardWatch() throws Exception {
+        watchConnection.close();
+        Peer.Connection next = discoveryPeer.awaitConnection();
+        readRequestHead(next, "GET /catalog/members?follow=1&since=41 HTTP/1.1");
+        next.write("HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n");
+        expectEvent("discovery failed");
+    }
+
     /** The signal may come while the node comes up, when the old file has been read already. */
     @Test
     void reloadDuringTheStartMovesTheWatch() throws Exception {
