A connect whose socket cannot be made is reported on the event loop

Seen while reading: where socket() fails (ENFILE, ENOBUFS, no descriptor left), the endpoint pool and the counter's client told the policy of it on another thread, beside the event loop that runs it: requests could be decided on state in the middle of a change, or the loop's maps be torn. Cause: Netty has no channel then, and so no event loop; it calls listeners on its global executor. Only DiscoveryClient went back to the loop. Mend: SocketConnector, which opens all connections of the gateway now, fails such a connect by a task of the loop. DiscoveryClient's own way back is gone.

--- a/src/main/java/quotagateway/discovery/DiscoveryClient.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryClient.java
@@ -159,8 +159,7 @@
                 })
                 .addListener(connected -> {
                     if (!connected.isSuccess()) {
-                        // Where no descriptor is left, Netty calls this on a thread of its own.
-                        loop.schedule(0, () -> onConnectFailed(target));
+                        onConnectFailed(target);
                     }
                 });
     }
--- a/src/main/java/quotagateway/transport/Connector.java
+++ b/src/main/java/quotagateway/transport/Connector.java
@@ -7,8 +7,8 @@
 /** Opens the connections of a client; tests put a simulated network here. */
 public interface Connector {
     /**
-     * Begins to connect. The future fails where the connection is not up in time. Where no channel could be made, for
-     * want of a descriptor, its listeners are called on a thread that is not the event loop's.
+     * Begins to connect. The future fails where the connection is not up in time, or no socket could be made. Its
+     * listeners are called on the event loop, and never during this call where it fails.
      *
      * @param handler set up on the new channel before it becomes active
      */
--- a/src/main/java/quotagateway/upstream/PooledEndpoint.java
+++ b/src/main/java/quotagateway/upstream/PooledEndpoint.java
@@ -176,8 +176,7 @@
     }
 
     /**
-     * A connection could not be made. Each attempt that waits has begun one, so the oldest goes without. It is ended
-     * later, as with no descriptor left a connection fails within the send of its own attempt.
+     * A connection could not be made. Each attempt that waits has begun one, so the oldest goes without.
      */
     void onConnectFailed() {
         connecting--;
--- a/src/main/java/quotagateway/upstream/SocketEndpointConnector.java
+++ b/src/main/java/quotagateway/upstream/SocketEndpointConnector.java
@@ -1,14 +1,14 @@
 package quotagateway.upstream;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
+import quotagateway.transport.Connector;
 import quotagateway.transport.PackedAddress;
-import quotagateway.transport.Transport;
+import quotagateway.transport.SocketConnector;
 
 /** Connects to endpoints by TCP. */
 final class SocketEndpointConnector implements EndpointConnector {
@@ -20,29 +20,23 @@
     /** The kernel's buffer (bytes): once the endpoint has ended its side, all that is in there is read at once. */
     private static final int RECEIVE_BUFFER_BYTES = 128 * 1024;
 
-    private final Bootstrap bootstrap;
+    private final Connector connector;
 
     SocketEndpointConnector(EventLoopGroup group, int connectTimeoutMs) {
-        bootstrap = new Bootstrap()
-                .group(group)
-                .channel(Transport.socketChannel())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
-                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-                .option(
+        connector = new SocketConnector(group, connectTimeoutMs)
+                .withOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                .withOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES));
     }
 
     @Override
     public ChannelFuture connect(long address, EndpointConnection connection) {
-        return bootstrap
-                .clone()
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        connection.addTo(channel);
-                    }
-                })
-                .connect(PackedAddress.unpack(address));
+        return connector.connect(PackedAddress.unpack(address), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                connection.addTo(channel);
+            }
+        });
     }
 }
