A counter connection that nobody uses any more is closed

Seen while reading: after a new configuration some connections to the former counter stayed open until the counter ended them, on descriptors that clients need: those that came up only behind the next configuration or behind their successor, and those that owe a reply to a call that has timed out. A counter named by SIGHUP before the start had ended was connected to twice. Cause: close() and closeAfterReplies() did nothing for a connection that was being opened, and nothing looked at it later; start() did not know that the first address had been connected to already. Mend: a connection that is replaced remembers it, and closes when it comes up or after DEAD_AFTER_MS; before the start only the address is noted. Tests: CounterClientTest, three seen to fail; the silent counter's was written with its mend.

--- a/src/main/java/quotagateway/counter/CounterClient.java
+++ b/src/main/java/quotagateway/counter/CounterClient.java
@@ -36,6 +36,7 @@
 
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private ConfiguredAddress address;
+    private boolean started;
     private boolean timeoutTimerRunning;
 
     /**
@@ -77,22 +78,27 @@
         return ready;
     }
 
-    /** Opens the connections, where a counter is configured. */
+    /** Opens the connections, where a counter is configured; called once. */
     public void start() {
+        started = true;
         if (address.address() != null) {
-            for (int i = 0; i < CONNECTIONS; i++) {
-                connections[i] = new CounterConnection(loop, this, address);
-            }
-            for (CounterConnection connection : connections) {
-                connection.connect();
-            }
-            loop.schedule(CHECK_INTERVAL_MS, this::checkConnections);
+            openConnections();
+        }
+    }
+
+    private void openConnections() {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            connections[i] = new CounterConnection(loop, this, address);
+        }
+        for (CounterConnection connection : connections) {
+            connection.connect();
         }
+        loop.schedule(CHECK_INTERVAL_MS, this::checkConnections);
     }
 
     /**
      * Moves to another counter; null changes nothing. The connections to the old one serve until the new ones are up,
-     * and what was called on them may still be answered.
+     * and what was called on them may still be answered. Before the start only the address is noted.
      */
     public void reconnectTo(InetSocketAddress newAddress) {
         if (newAddress == null || newAddress.equals(address.address())) {
@@ -100,13 +106,20 @@
         }
         boolean first = address.address() == null;
         address = address.replacedBy(newAddress);
-        if (first) {
-            start();
+        if (!started) {
             return;
         }
+        if (first) {
+            openConnections();
+        } else {
+            openSuccessors();
+        }
+    }
+
+    private void openSuccessors() {
         for (int i = 0; i < CONNECTIONS; i++) {
             if (successors[i] != null) {
-                successors[i].close();
+                successors[i].closeAfterReplies();
             }
             successors[i] = new CounterConnection(loop, this, address);
             successors[i].connect();
--- a/src/main/java/quotagateway/counter/CounterConnection.java
+++ b/src/main/java/quotagateway/counter/CounterConnection.java
@@ -116,6 +116,7 @@
             waiting.forEach(this::write);
             loop.flush();
             client.onConnected();
+            closeIfNothingOwed();
         } else {
             waiting.forEach(call -> client.complete(call, CallOutcome.NO_CONNECTION));
             loop.flush();
@@ -168,17 +169,22 @@
         }
     }
 
-    /** Another connection has taken the place of this one: it closes once no reply is owed on it. */
+    /**
+     * Another connection has taken the place of this one: it closes once no reply is owed on it, also where it comes up
+     * only then. A counter that has fallen silent is not waited for.
+     */
     void closeAfterReplies() {
         closing = true;
-        if (channel != null && unanswered.isEmpty()) {
-            channel.close();
-        }
+        closeIfNothingOwed();
+        loop.schedule(DEAD_AFTER_MS, () -> {
+            if (channel != null) {
+                channel.close();
+            }
+        });
     }
 
-    /** Closes the connection with all that is owed on it. */
-    void close() {
-        if (channel != null) {
+    private void closeIfNothingOwed() {
+        if (closing && channel != null && unanswered.isEmpty()) {
             channel.close();
         }
     }
@@ -214,9 +220,7 @@
             unanswered.addFirst(call);
             failReplies();
         }
-        if (closing && unanswered.isEmpty()) {
-            ctx.close();
-        }
+        closeIfNothingOwed();
     }
 
     /** Completes a call by its reply; false where that cannot be read, and so no reply behind it can be trusted. */
--- a/src/test/java/quotagateway/counter/CounterClientTest.java
+++ b/src/test/java/quotagateway/counter/CounterClientTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -179,4 +180,69 @@
         assertEquals(
                 8, s.attempts.size(), "four to each new configuration; those of the first are not repeated any more");
     }
+
+    /**
+     * Two configurations follow one another while connections to the first are still coming up. Nothing used those any
+     * more, but they stayed open, on descriptors that clients need, until the counter ended them.
+     */
+    @Test
+    void connectionThatComesUpBehindTheNextConfigurationIsClosed() {
+        SimulatedCounter s = SimulatedCounter.connected();
+        s.client.reconnectTo(SimulatedCounter.OTHER_ADDRESS);
+        s.client.reconnectTo(SimulatedCounter.ADDRESS);
+        assertEquals(8, s.attempts.size());
+        s.acceptAll();
+        for (EmbeddedChannel replaced : s.connections.subList(4, 8)) {
+            assertFalse(replaced.isOpen());
+        }
+        for (EmbeddedChannel current : s.connections.subList(8, 12)) {
+            assertTrue(current.isOpen());
+        }
+    }
+
+    /** The same for a connection to the former counter that had broken and was being opened anew. */
+    @Test
+    void connectionThatComesUpBehindItsSuccessorIsClosed() {
+        SimulatedCounter s = SimulatedCounter.connected();
+        s.end(s.connections.get(0));
+        s.runTo(1);
+        s.client.reconnectTo(SimulatedCounter.OTHER_ADDRESS);
+        SimulatedCounter.Attempt former = s.attempts.remove(0);
+        s.acceptAll();
+        s.client.add(0, 1, 4000);
+        s.attempts.add(former);
+        assertFalse(s.accept().isOpen());
+        assertTrue(SimulatedCounter.written(s.connections.get(4)).contains(bulk("CNT.ADD") + bulk("0")));
+    }
+
+    /** The former counter owes a reply, whose call has timed out, and never gives it. */
+    @Test
+    void connectionToASilentFormerCounterIsClosed() {
+        SimulatedCounter s = SimulatedCounter.connected();
+        s.client.add(0, 1, 4000);
+        s.client.reconnectTo(SimulatedCounter.OTHER_ADDRESS);
+        s.acceptAll();
+        s.runTo(200);
+        s.client.add(4, 1, 4000);
+        assertTrue(SimulatedCounter.written(s.connections.get(4)).contains(bulk("CNT.ADD") + bulk("4")));
+        assertTrue(s.connections.get(0).isOpen(), "its reply may still come");
+        s.runTo(600);
+        assertFalse(s.connections.get(0).isOpen());
+        assertTrue(s.outcomes.contains("0 TIMEOUT 150.0 0.0"), s.outcomes.toString());
+    }
+
+    /** A configuration may name the first counter, or another one, before the node's start comes to it. */
+    @Test
+    void counterConfiguredBeforeTheStartIsConnectedToOnce() {
+        for (InetSocketAddress first : new InetSocketAddress[] {null, SimulatedCounter.ADDRESS}) {
+            SimulatedCounter s = new SimulatedCounter(first);
+            s.client.reconnectTo(SimulatedCounter.OTHER_ADDRESS);
+            s.client.start();
+            assertEquals(4, s.attempts.size());
+            assertEquals(SimulatedCounter.OTHER_ADDRESS, s.attempts.get(0).to());
+            s.acceptAll();
+            s.client.add(4, 1, 4000);
+            assertTrue(SimulatedCounter.written(s.connections.get(0)).contains(bulk("CNT.ADD") + bulk("4")));
+        }
+    }
 }
