A re-split that is due now is followed by the next one, not by itself

Seen while reading: where a clock stands on a re-split to the last bit, the next one could be 'now' again by rounding (gateway 1 of 3 at 1083.33.. ms). The policy then runs the same timer for ever and the event loop never returns: all clients of the gateway hang until it is killed. Cause: (floor((now - phase) / period) + 1) * period + phase may round to now. Mend: such a sum is moved on by one period; all others are as before. Test: ResplitScheduleTest over fleets of 1 to 60, seen to fail.

--- a/src/main/java/quotagateway/policy/timer/ResplitSchedule.java
+++ b/src/main/java/quotagateway/policy/timer/ResplitSchedule.java
@@ -16,8 +16,12 @@
         phaseMs = PERIOD_MS * settings.nodeIndex() / settings.nodeCount();
     }
 
-    /** The first re-split of this gateway after this time. */
+    /**
+     * The first re-split of this gateway after this time. The sum may round to the time itself where that is a re-split:
+     * a timer set to now would run again at once, for ever.
+     */
     public double nextAfter(double now) {
-        return (Math.floor((now - phaseMs) / PERIOD_MS) + 1) * PERIOD_MS + phaseMs;
+        double next = (Math.floor((now - phaseMs) / PERIOD_MS) + 1) * PERIOD_MS + phaseMs;
+        return next > now ? next : next + PERIOD_MS;
     }
 }
--- a/src/test/java/quotagateway/policy/timer/ResplitScheduleTest.java
+++ b/src/test/java/quotagateway/policy/timer/ResplitScheduleTest.java
@@ -1,6 +1,7 @@
 package quotagateway.policy.timer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 import quotagateway.policy.testing.PolicyValues;
@@ -19,4 +20,24 @@
         assertEquals(125, new ResplitSchedule(PolicyValues.settings(1, 2, true)).nextAfter(0));
         assertEquals(62.5, new ResplitSchedule(PolicyValues.settings(1, 4, true)).nextAfter(0));
     }
+
+    /**
+     * A timer that fires exactly at a re-split asks for the next one. By rounding, the schedule answered with the very
+     * time that it was asked at: the policy then ran the same timer for ever, and the event loop never returned.
+     */
+    @Test
+    void nextResplitIsAfterTheOneThatIsDueNow() {
+        for (int gateways = 1; gateways <= 60; gateways++) {
+            for (int gateway = 0; gateway < gateways; gateway++) {
+                ResplitSchedule schedule = new ResplitSchedule(PolicyValues.settings(gateway, gateways, true));
+                double now = 0;
+                for (int i = 0; i < 40; i++) {
+                    double next = schedule.nextAfter(now);
+                    assertTrue(next > now, "gateway " + gateway + " of " + gateways + " at " + now);
+                    assertTrue(next - now < 250 + 1e-6, "none is left out: " + now + ", " + next);
+                    now = next;
+                }
+            }
+        }
+    }
 }
