--- a/src/main/java/quotagateway/policy/quota/QuotaLease.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaLease.java
@@ -36,8 +36,6 @@
         private long epoch;
         /** The epoch that the total was last carried over to. */
         private long carriedToEpoch = Long.MIN_VALUE;
-        /** What was last corrected in the total. */
-        private double correction;
         /** What was spent and not added to the total yet, or, below 0, is still to be taken off it. */
         private double owedToTotal;
     }
@@ -153,8 +151,7 @@
                 : holder.plan().burst();
         DriftDetector.Drift found = drift.assess(reading, maximum, now);
         if (found.toBeCorrected()) {
-            claim.correction = found.units();
-            counter.addUnits(claim.epoch, claim.correction, this::onCorrectionReply);
+            correct(claim.epoch, found.units());
         }
         boolean unconfirmedLoss = found.isUnconfirmedLoss();
         double available = unconfirmedLoss ? drift.lowestLevel() : found.removeFrom(reading);
@@ -205,13 +202,13 @@
     // ---- other replies ----
 
     /** Two gateways may correct the same excess: the later one sees it taken off twice and takes its own back. */
-    private void onCorrectionReply(CallOutcome outcome, double total) {
-        double correction = claim.correction;
-        if (outcome == CallOutcome.OK
-                && correction > 0
-                && filledSince(claim.epoch) - total < Math.max(0, estimate.lastAtMost()) - correction / 2) {
-            returnUnits(claim.epoch, correction);
-        }
+    private void correct(long epoch, double units) {
+        counter.addUnits(epoch, units, (outcome, total) -> {
+            boolean correctedTwice = filledSince(epoch) - total < Math.max(0, estimate.lastAtMost()) - units / 2;
+            if (outcome == CallOutcome.OK && units > 0 && correctedTwice) {
+                returnUnits(epoch, units);
+            }
+        });
     }
 
     /** A new name starts at 0, whatever is left: the total of the old one tells what others have taken. */
