Tests: an attempt whose endpoint drains before the write is not sent and retried at once

The code has held it: the pool hears of a list before the policy, and ends what waits there. No test said so; both pass as written, one on loopback for the node, one for the policy's retry in the same event.

--- a/src/test/java/quotagateway/node/EndpointConnectionsTest.java
+++ b/src/test/java/quotagateway/node/EndpointConnectionsTest.java
@@ -42,6 +42,32 @@
         endpointPeer.awaitConnection();
     }
 
+    /**
+     * The policy decides on an attempt, which waits for a connection to its endpoint; before that is up the endpoint is
+     * named as draining. The attempt does not go out, and the policy is told at once, so that it can try elsewhere.
+     */
+    @Test
+    void attemptWhoseEndpointBeginsToDrainBeforeItIsWrittenIsNotSent() throws Exception {
+        start();
+        Peer.Connection client = connectClient();
+        sendGet(client, "01", "read", 2000);
+        expectRequest(1, "read");
+        assertEquals("01", endpointConnection.readMessage().get(2)); // its connection is in use from here on
+        sendGet(client, "02", "hold", 2000);
+        expectRequest(2, "hold");
+        node.eventLoop().execute(() -> {
+            node.policyActions().sendAttempt(2, "s0", 0);
+            node.discoveryListener()
+                    .onEndpoints(List.of(endpointConnection("s0", endpointPeer, EndpointState.DRAINING)), false);
+        });
+        expectEvent("changes s0 DRAINING");
+        expectEvent("ended 2 0 NO_CONNECTION false");
+        assertTrue(endpointPeer.awaitConnection().awaitEnd(), "the connection for it comes up, and carries nothing");
+        endpointConnection.sendValue("one");
+        assertEquals(List.of("one"), client.readMessage());
+        assertEquals(List.of("-ERR failed"), client.readMessage(), "the policy of this test does not try again");
+    }
+
     @Test
     void endpointThatIsListedAndNotRetainedHasNoConnection() throws Exception {
         start();
--- a/src/test/java/quotagateway/policy/PolicyRulesTest.java
+++ b/src/test/java/quotagateway/policy/PolicyRulesTest.java
@@ -43,6 +43,21 @@
         assertEquals(0, gateway.countActions("refuse 1"));
     }
 
+    /** It was never written: the endpoint began to drain while the attempt waited for a connection. */
+    @Test
+    void requestWhoseEndpointBeganToDrainBeforeTheWriteIsRetriedElsewhereAtOnce() {
+        PolicyHarness gateway = PolicyHarness.withoutCounter().start().listEndpoints(4);
+        gateway.request(1, "once", "big", "c");
+        String first = gateway.lastEndpointOf(1);
+        int number = Integer.parseInt(first.substring(1));
+        gateway.policy.onEndpoints(
+                gateway.now, List.of(PolicyHarness.endpoint(number, EndpointState.DRAINING, 0)), false);
+        assertEquals(1, gateway.countActions("send 1"), "the attempt that waits is ended by the node");
+        gateway.endAttempt(1, 0, CallOutcome.NO_CONNECTION);
+        assertEquals(2, gateway.countActions("send 1"), "in the same event");
+        assertNotEquals(first, gateway.lastEndpointOf(1));
+    }
+
     @Test
     void keyedRequestIsRetriedInItsCellAndIsNotRejected() {
         PolicyHarness gateway = PolicyHarness.withoutCounter().start().listEndpoints(6);
