A client's timeout counts from when its request came, not from when it was read

Cause: at its limit a gateway leaves connections in the accept queue until a silent one may be evicted, for up to 0.5 s; and behind 256 unanswered commands it holds back what comes. Both waits were left out: a request's time began when it was read. Responses could come late by as much. Mend: what was read notes when it came. For a connection that may have waited in the queue the kernel is asked when its last bytes came (TCP_INFO), bounded by what the loop's own clock allows. Elsewhere nothing is asked.

--- a/src/main/java/quotagateway/client/AcceptQueueHandler.java
+++ b/src/main/java/quotagateway/client/AcceptQueueHandler.java
@@ -14,6 +14,8 @@
     private static final double QUIET_MS = 30;
     /** Lets the loop look at the queue once more: a late loop may not have done so in all that time. */
     private static final double NEXT_ROUND_MS = 1;
+    /** The queue was empty after the last round, and connections are accepted as they come. */
+    private static final double NOT_WAITING = Double.MAX_VALUE;
 
     private final EventLoopContext loop;
     private final int maxPerRound;
@@ -21,6 +23,8 @@
     private int acceptedInRound;
     private long acceptedInAll;
     private boolean closing;
+    /** Since when (ms of the loop's clock) connections may be waiting in the queue. */
+    private double mayWaitSinceMs = NOT_WAITING;
 
     /** The second is how many connections the channel accepts in one round of the loop. */
     AcceptQueueHandler(EventLoopContext loop, int maxPerRound) {
@@ -40,8 +44,18 @@
         loop.schedule(QUIET_MS, this::closeWhenQuiet);
     }
 
-    boolean isClosing() {
-        return closing;
+    /** Accepts connections as they come, or leaves them in the queue; one that is to be closed is emptied. */
+    void setAccepting(boolean accepting) {
+        boolean acceptsNow = closing || accepting;
+        if (!acceptsNow && mayWaitSinceMs == NOT_WAITING) {
+            mayWaitSinceMs = loop.now();
+        }
+        channel.config().setAutoRead(acceptsNow);
+    }
+
+    /** How long (ms) a connection that is accepted now may have waited in the queue. */
+    double longestWaitMs() {
+        return Math.max(0, loop.now() - mayWaitSinceMs);
     }
 
     private void closeWhenQuiet() {
@@ -66,6 +80,9 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean queueEmpty = acceptedInRound < maxPerRound; // else it may be the round's bound that has ended it
         acceptedInRound = 0;
+        if (queueEmpty && channel.config().isAutoRead()) {
+            mayWaitSinceMs = NOT_WAITING;
+        }
         if (closing && queueEmpty) {
             ctx.close();
         }
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -40,14 +40,19 @@
     private final ClosingSequence closing;
     private RespFrameTracker frames;
 
-    /** A connection that was accepted; id names it in the event log. */
-    ClientConnection(DuplexChannel channel, long id, ListenerContext listener) {
+    /**
+     * A connection that was accepted.
+     *
+     * @param id its number in the event log
+     * @param longestQueueWaitMs how long it may have waited in the accept queue, 0 for not at all
+     */
+    ClientConnection(DuplexChannel channel, long id, ListenerContext listener, double longestQueueWaitMs) {
         this.channel = channel;
         this.id = id;
         this.listener = listener;
         loop = listener.loop();
         requests = listener.requests();
-        readAhead = new ReadAhead(listener.readAheadBudget());
+        readAhead = new ReadAhead(loop, listener.readAheadBudget(), longestQueueWaitMs);
         timer = new CommandTimer(loop);
         largeBody = new LargeBodyReceiver(this, loop, requests, timer);
         responses = new ResponseQueue(this, channel, loop);
@@ -117,7 +122,7 @@
 
     /** Gives a request command to the handler, with its large body or null, and answers it where it is malformed. */
     void submit(ResponseSlot slot, ArrayRedisMessage command, RequestBody body) {
-        String problem = requests.acceptCommand(slot, command, body);
+        String problem = requests.acceptCommand(slot, command, body, readAhead.receivedAtMs());
         if (problem != null) {
             slot.respond(new ErrorRedisMessage("ERR " + problem));
             if (body != null) {
--- a/src/main/java/quotagateway/client/ClientListener.java
+++ b/src/main/java/quotagateway/client/ClientListener.java
@@ -114,7 +114,8 @@
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            ClientConnection connection = new ClientConnection(channel, ++connectionCount, context);
+            ClientConnection connection =
+                    new ClientConnection(channel, ++connectionCount, context, acceptQueue.longestWaitMs());
             connection.addHandlers();
             connections.add(connection);
             admitConnections();
@@ -147,7 +148,7 @@
 
     private void updateAccepting() {
         boolean hasCapacity = connections.hasCapacity();
-        serverChannel.config().setAutoRead(acceptQueue.isClosing() || hasCapacity);
+        acceptQueue.setAccepting(hasCapacity);
         if (!hasCapacity && !evictionRetryScheduled) {
             evictionRetryScheduled = true;
             loop.schedule(EVICTION_RETRY_MS, () -> {
--- a/src/main/java/quotagateway/client/ClientRequestHandler.java
+++ b/src/main/java/quotagateway/client/ClientRequestHandler.java
@@ -10,8 +10,11 @@
     /**
      * Takes a request over, with its large body or null; its response is given to the slot, now or later. Returns
      * what is wrong with the command, for the client to read, or null where it was taken.
+     *
+     * @param receivedAtMs when the last bytes of the command came (ms of the loop's clock), which may be long ago where
+     *     its connection had to wait; of one with a large body, when those came that were read last
      */
-    String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body);
+    String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body, double receivedAtMs);
 
     /** Whether so much is buffered for all requests that clients should be read no further. */
     boolean isMemoryExhausted();
--- a/src/main/java/quotagateway/client/ReadAhead.java
+++ b/src/main/java/quotagateway/client/ReadAhead.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import quotagateway.transport.EventLoopContext;
+import quotagateway.transport.SocketAge;
 import quotagateway.transport.Transport;
 
 /**
@@ -16,17 +18,37 @@
  * came right behind it is known, and nothing of it is taken any more.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
+    /** What was read at once, and when that had come (ms of the loop's clock). */
+    private record Piece(ByteBuf buffer, double receivedAtMs) {}
+
+    private final EventLoopContext loop;
     private final ReadAheadBudget budget;
     private final int maxBytes = Transport.readAheadBytes();
-    private final ArrayDeque<ByteBuf> buffers = new ArrayDeque<>();
+    private final ArrayDeque<Piece> pieces = new ArrayDeque<>();
+    private final double openedAtMs;
+    /** How long (ms) the first bytes may have been unread in the accept queue; 0 once they are read. */
+    private double longestQueueWaitMs;
+    /** When the bytes that were passed on last had come. */
+    private double receivedAtMs;
+
     private ChannelHandlerContext context;
     private int bufferedBytes;
     private boolean heldBack;
     private boolean shutDown;
     private boolean passScheduled;
 
-    ReadAhead(ReadAheadBudget budget) {
+    /** The last is how long (ms) the connection may have waited before it was accepted. */
+    ReadAhead(EventLoopContext loop, ReadAheadBudget budget, double longestQueueWaitMs) {
+        this.loop = loop;
         this.budget = budget;
+        this.longestQueueWaitMs = longestQueueWaitMs;
+        openedAtMs = loop.now();
+        receivedAtMs = openedAtMs;
+    }
+
+    /** When the bytes that were passed on last had come (ms of the loop's clock): long ago if they were held back. */
+    double receivedAtMs() {
+        return receivedAtMs;
     }
 
     @Override
@@ -40,7 +62,7 @@
 
     /** Whether all that was read has been passed on. */
     boolean isEmpty() {
-        return buffers.isEmpty();
+        return pieces.isEmpty();
     }
 
     /** Passes nothing on until {@link #resume()}. */
@@ -63,8 +85,8 @@
     /** Drops what is buffered, and reads nothing any more. */
     void shutDown() {
         shutDown = true;
-        buffers.forEach(ReferenceCountUtil::release);
-        buffers.clear();
+        pieces.forEach(piece -> piece.buffer().release());
+        pieces.clear();
         addBuffered(-bufferedBytes);
         updateAutoRead();
     }
@@ -76,18 +98,31 @@
             return;
         }
         ByteBuf buffer = (ByteBuf) msg;
-        buffers.add(buffer);
+        pieces.add(new Piece(buffer, loop.now() - unreadForMs()));
         addBuffered(buffer.capacity()); // not its readable bytes: one byte of a slow client may hold a large buffer
         updateAutoRead();
     }
 
+    /**
+     * How long the bytes that are read now had been there. The kernel is asked where the connection has waited to be
+     * accepted; it may count by another clock, so no more is believed than the loop's allows.
+     */
+    private double unreadForMs() {
+        if (longestQueueWaitMs <= 0) {
+            return 0;
+        }
+        double longestMs = longestQueueWaitMs + loop.now() - openedAtMs;
+        longestQueueWaitMs = 0;
+        return Math.min(longestMs, SocketAge.sinceLastBytesMs(context.channel()));
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         schedulePass();
     }
 
     private void schedulePass() {
-        if (!heldBack && !passScheduled && !buffers.isEmpty()) {
+        if (!heldBack && !passScheduled && !pieces.isEmpty()) {
             passScheduled = true;
             context.executor().execute(this::pass);
         }
@@ -99,11 +134,12 @@
             return; // closed in the round before, by either side: channelInactive comes next
         }
         boolean passed = false;
-        while (!heldBack && !buffers.isEmpty()) { // what is passed may lead to holdBack or shutDown
-            ByteBuf buffer = buffers.poll();
-            addBuffered(-buffer.capacity());
+        while (!heldBack && !pieces.isEmpty()) { // what is passed may lead to holdBack or shutDown
+            Piece piece = pieces.poll();
+            addBuffered(-piece.buffer().capacity());
             passed = true;
-            context.fireChannelRead(buffer);
+            receivedAtMs = piece.receivedAtMs();
+            context.fireChannelRead(piece.buffer());
         }
         if (passed) {
             context.fireChannelReadComplete();
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -51,11 +51,12 @@
     /**
      * {@inheritDoc}
      *
-     * <p>The client's wait begins with the last byte of its request; what is still to come of a large value is
-     * expected at the pace so far.
+     * <p>The client's wait begins with the last byte of its request: when that came, not when it was read. Else an
+     * endpoint would be told more time than the client has left. What is still to come of a large value is expected at
+     * the pace so far.
      */
     @Override
-    public String acceptCommand(ResponseSlot slot, ArrayRedisMessage message, RequestBody body) {
+    public String acceptCommand(ResponseSlot slot, ArrayRedisMessage message, RequestBody body, double receivedAtMs) {
         double now = loop.now();
         ClientCommand command;
         try {
@@ -75,7 +76,7 @@
             rejectAtShutdown(slot, command, body);
             return null;
         }
-        double clientWaitMs = clientTimeoutMs + (body == null ? 0 : body.remainingMs(now));
+        double clientWaitMs = clientTimeoutMs + (body == null ? receivedAtMs - now : body.remainingMs(now));
         double responseTimeMs = requests.responseTimeMs(now, clientWaitMs);
         ResponseDeadline deadline = new ResponseDeadline(loop, now + clientWaitMs, now + responseTimeMs);
         ActiveRequest request =
--- a/src/test/java/quotagateway/client/ClientSide.java
+++ b/src/test/java/quotagateway/client/ClientSide.java
@@ -60,14 +60,14 @@
     /** A new connection of a client. */
     EmbeddedDuplexChannel connect() {
         EmbeddedDuplexChannel channel = new EmbeddedDuplexChannel();
-        ClientConnection connection = new ClientConnection(channel, ++connectionCount, context);
+        ClientConnection connection = new ClientConnection(channel, ++connectionCount, context, 0);
         connection.addHandlers();
         table.add(connection);
         return channel;
     }
 
     @Override
-    public String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body) {
+    public String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body, double receivedAtMs) {
         if (problem == null) {
             Request request = new Request(slot, body);
             slot.attachRequest(request);
--- a/src/test/java/quotagateway/client/ReadAheadTest.java
+++ b/src/test/java/quotagateway/client/ReadAheadTest.java
@@ -17,7 +17,7 @@
 
     private final ManualEventLoop loop = new ManualEventLoop();
     private final ReadAheadBudget budget = new ReadAheadBudget(loop);
-    private final ReadAhead readAhead = new ReadAhead(budget);
+    private final ReadAhead readAhead = new ReadAhead(loop, budget, 0);
     private final EmbeddedChannel channel = new EmbeddedChannel(readAhead);
 
     private static ByteBuf bytes(int size) {
@@ -55,7 +55,7 @@
 
     @Test
     void sharedBudgetStopsConnectionsThatAreHeldBackUntilItHasCapacity() {
-        EmbeddedChannel running = new EmbeddedChannel(new ReadAhead(budget));
+        EmbeddedChannel running = new EmbeddedChannel(new ReadAhead(loop, budget, 0));
         budget.add(BUDGET_BYTES);
         readAhead.holdBack();
         assertFalse(channel.config().isAutoRead());
--- a/src/test/java/quotagateway/node/ListenerLifecycleTest.java
+++ b/src/test/java/quotagateway/node/ListenerLifecycleTest.java
@@ -57,7 +57,8 @@
     /** Stands behind a listener whose clients send no requests. */
     private static final class PingOnly implements ClientRequestHandler {
         @Override
-        public String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body) {
+        public String acceptCommand(
+                ResponseSlot slot, ArrayRedisMessage command, RequestBody body, double receivedAtMs) {
             throw new IllegalStateException("no request is expected");
         }
 
