A new name on the counter is corrected at once, by the gateway whose claim is first on it

Cause: a name that nobody has added to shows what its quota has filled since the epoch began. Each gateway caps that at a burst, but until the total is corrected all of them are granted bursts, and correcting it waited for the gateways in turn: position x the counter's timeout, up to 8 s in a set of 100, and then for another claim of that gateway, which may have no requests at all. Mend: the counter tells one gateway alone that its claim was the first on the name. That one corrects it, at once; the turns remain for where its correction is lost. Two never correct for the reason that both are first. DriftDetectorTest held that the first on a name waits for its turn: it holds now that the first does not and the others do.

--- a/src/main/java/quotagateway/policy/quota/DriftDetector.java
+++ b/src/main/java/quotagateway/policy/quota/DriftDetector.java
@@ -14,6 +14,8 @@
     private static final double LOSS_CONFIRMED_AFTER_MS = ResplitSchedule.PERIOD_MS;
     /** Totals that fell by more than this part of the burst were lost. */
     private static final double LOST_PART_OF_BURST = 1.0 / 2;
+    /** Sums of units on the counter differ by less than this where they are equal. */
+    private static final double ROUNDING = 1e-6;
 
     /**
      * What a reading shows too much, or, below 0, too little.
@@ -36,6 +38,9 @@
     private final QuotaHolder holder;
     private final QuotaContext context;
     private boolean totalSuspect;
+    /** Whether the total last read held nothing of others: this gateway was the first to add to its name. */
+    private boolean firstOnName;
+
     private double driftingSince = Double.MAX_VALUE;
     private long lastEpoch = Long.MIN_VALUE;
     private double lastTotal;
@@ -55,6 +60,7 @@
         double burst = holder.plan().burst();
         boolean lost = othersTotal < burst * LOST_PART_OF_BURST && othersTotal < lastTotal - burst * LOST_PART_OF_BURST;
         totalSuspect |= epoch != lastEpoch || lost;
+        firstOnName = Math.abs(othersTotal) < ROUNDING;
     }
 
     /** Whether the total last read says nothing of what others have taken. */
@@ -76,9 +82,16 @@
         return new Drift(units, significant, toBeCorrected);
     }
 
-    /** Where all find the same total suspect, one corrects it first, and the others see that in its turn. */
+    /**
+     * Where all find the same total suspect, one corrects it first, and the others see that. It is the one whose claim
+     * came first to the name: the counter tells it so. Were it left to the gateways in turn, all would be granted what
+     * the name shows too much until one had waited and claimed again, and the first in turn may have no requests. They
+     * correct it in turn where the first one's correction was lost.
+     */
     private double turnDelayMs() {
-        return holder.position() * context.settings().capabilities().counterTimeout();
+        return firstOnName
+                ? 0
+                : holder.position() * context.settings().capabilities().counterTimeout();
     }
 
     /** What the total will be once this gateway's returns and corrections are added. */
--- a/src/test/java/quotagateway/policy/CounterDriftTest.java
+++ b/src/test/java/quotagateway/policy/CounterDriftTest.java
@@ -67,6 +67,35 @@
                 all.stream().mapToLong(gateway -> gateway.countActions("send")).sum());
     }
 
+    /**
+     * A customer's first requests come 20 s after its name on the counter began, by gateways that are far back in the
+     * turn to correct it. Until one of them had waited for its turn and claimed once more, each claim found what a
+     * quota fills in 20 s, and all of it was given out: 160 units beyond the burst.
+     */
+    @Test
+    void newTotalGrantsNoMoreThanTheQuotaWhereTheFirstGatewaysHaveNoRequests() {
+        Map<Long, Double> counter = new HashMap<>();
+        List<PolicyHarness> busy = new ArrayList<>();
+        for (int n = 10; n < 20; n++) {
+            PolicyHarness gateway = new PolicyHarness();
+            gateway.gatewayIndex = n;
+            gateway.gatewayCount = 20;
+            gateway.counter = counter;
+            gateway.now = 20_000;
+            busy.add(gateway.start().listEndpoints(8));
+        }
+        int id = 0;
+        for (double now = 20_000; now < 22_000; now += 10) {
+            PolicyHarness gateway = busy.get(id % busy.size());
+            gateway.advanceTo(now);
+            gateway.request(++id, "read", "rate", "c", 1, 20);
+            gateway.replyToCounterCalls(OK);
+        }
+        long sent =
+                busy.stream().mapToLong(gateway -> gateway.countActions("send")).sum();
+        assertTrue(sent <= 8 + 8 * 2 + 3, "sent " + sent + " of 24, and 3 that may be claimed ahead");
+    }
+
     /** At a new name the gateway that had read the old one longest ago took its reading for the store's. */
     @Test
     void newTotalDoesNotGrantWhatOthersHaveTaken() {
--- a/src/test/java/quotagateway/policy/quota/DriftDetectorTest.java
+++ b/src/test/java/quotagateway/policy/quota/DriftDetectorTest.java
@@ -54,8 +54,14 @@
     }
 
     @Test
-    void excessOfASuspectTotalIsCorrectedInTurn() {
+    void excessOfATotalThatNobodyAddedToBeforeIsCorrectedAtOnce() {
         drift.noteTotal(0, 0);
+        assertTrue(drift.assess(100, 8, 1000).toBeCorrected());
+    }
+
+    @Test
+    void excessOfASuspectTotalIsCorrectedInTurnByTheOthers() {
+        drift.noteTotal(0, 1);
         assertFalse(drift.assess(100, 8, 1000).toBeCorrected());
         assertFalse(drift.assess(100, 8, 1099).toBeCorrected());
         assertTrue(drift.assess(100, 8, 1100).toBeCorrected());
