A host name in an endpoint list is refused, not looked up on the event loop

Seen while reading: PackedAddress.pack resolved names by the JDK. A list with a name and a resolver that does not answer held up the event loop, and so every client of the gateway, for as long as the look-up took. Mend: an endpoint's address has to be a dotted IPv4 address, as the protocol says; another one is reported and left out, as any entry that cannot be read. Configurations may still name hosts: they are read beside the loop. Test: PackedAddressTest, seen to fail for both names.

--- a/src/main/java/quotagateway/transport/PackedAddress.java
+++ b/src/main/java/quotagateway/transport/PackedAddress.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 /**
  * Converts socket addresses between text, objects and one number. Addresses are numeric, as the peers and the
@@ -11,6 +12,8 @@
  */
 public final class PackedAddress {
     private static final int PORT_MASK = 0xffff;
+    private static final int MAX_BYTE = 255;
+    private static final int MAX_BYTE_DIGITS = 3;
 
     private PackedAddress() {}
 
@@ -30,17 +33,29 @@
     }
 
     /**
-     * Packs an IPv4 address and port into one number, the address before the port: 200,000 endpoints are kept so.
+     * Packs an IPv4 address and port into one number, the address before the port: 200,000 endpoints are kept so. A
+     * host name is not looked up, as lists are read on the event loop.
      *
      * @throws IllegalArgumentException where the text is no IPv4 address with a port
      */
     public static long pack(String hostAndPort) {
-        InetSocketAddress parsed = parse(hostAndPort);
-        byte[] ip = parsed.isUnresolved() ? new byte[0] : parsed.getAddress().getAddress();
-        if (ip.length != Integer.BYTES) {
+        int colon = hostAndPort.lastIndexOf(':');
+        String[] parts = hostAndPort.substring(0, Math.max(0, colon)).split("\\.", -1);
+        if (parts.length != Integer.BYTES || !Arrays.stream(parts).allMatch(PackedAddress::isByte)) {
             throw new IllegalArgumentException("an IPv4 address expected, found '" + hostAndPort + "'");
         }
-        return Integer.toUnsignedLong(ByteBuffer.wrap(ip).getInt()) << Short.SIZE | parsed.getPort();
+        long ip = 0;
+        for (String part : parts) {
+            ip = ip << Byte.SIZE | Integer.parseInt(part);
+        }
+        return ip << Short.SIZE | parse(hostAndPort).getPort();
+    }
+
+    private static boolean isByte(String text) {
+        boolean isNumber = !text.isEmpty()
+                && text.length() <= MAX_BYTE_DIGITS
+                && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+        return isNumber && Integer.parseInt(text) <= MAX_BYTE;
     }
 
     /** The address that {@link #pack} has packed. */
--- a/src/test/java/quotagateway/transport/PackedAddressTest.java
+++ b/src/test/java/quotagateway/transport/PackedAddressTest.java
@@ -26,6 +26,18 @@
         assertEquals("address:port expected, found '" + text + "'", e.getMessage());
     }
 
+    /**
+     * A name in an endpoint list was looked up in DNS, on the event loop: with a resolver that does not answer, all
+     * clients of the gateway waited for seconds. Addresses are numbers by the protocol.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"localhost:5", "place-1.example:6379", "1.2.3:5", "1.2.3.4.5:5", "1.2.3.256:5", "1.2.3.-4:5"})
+    void nameIsNotLookedUpButRefused(String text) {
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> PackedAddress.pack(text));
+        assertEquals("an IPv4 address expected, found '" + text + "'", e.getMessage());
+    }
+
     @Test
     void ipv6AddressIsNotPacked() {
         assertThrows(IllegalArgumentException.class, () -> PackedAddress.pack("[::1]:5"));
