Admitting without a call earns only what a rejection would lose for good

Cause: GrantEstimator weighed the cost of a unit beyond against the whole worth of the request. So the break-even was too low. Mend: TrafficMeter counts rejections, and repeats by what clients say or by how little time they have left. The part that is sent on later after all is taken off the gain. Where no repeats are seen all is as before; nothing is fitted. Tests: GrantEstimatorTest (seen to fail: it pays at 0.7 granted whatever clients do), TrafficMeterTest.

--- a/src/main/java/quotagateway/policy/Policy.java
+++ b/src/main/java/quotagateway/policy/Policy.java
@@ -87,7 +87,15 @@
         counterCalls = new CounterCalls(actions, clock, new CounterCallWindow(settings, clock, timers, random));
         resplit = new QuotaResplit(counterCalls);
         QuotaContext quotaContext = new QuotaContext(
-                settings, objectives, clock, timers, schedule, limiter, counterCalls, QuotaContext.newUsualGrant());
+                settings,
+                objectives,
+                clock,
+                timers,
+                schedule,
+                limiter,
+                traffic,
+                counterCalls,
+                QuotaContext.newUsualGrant());
         CustomerDirectory customers = new CustomerDirectory(settings, quotaContext, resplit, clock);
 
         IdempotencyRule idempotency = new IdempotencyRule(marginMs);
@@ -96,7 +104,7 @@
         EndpointPicker picker = new EndpointPicker(endpoints, idempotency, slowStartRate, clock, random);
         OutcomeRecorder outcomes = new OutcomeRecorder(endpoints, limiter, clock);
         AttemptSender sender = new AttemptSender(endpoints, picker, outcomes, limiter, traffic, clock, timers, actions);
-        OpenRequests requests = new OpenRequests(settings.capabilities(), idempotency, actions);
+        OpenRequests requests = new OpenRequests(settings.capabilities(), idempotency, traffic, actions);
         dispatcher = new RequestDispatcher(requests, sender, retryPolicy, resplit, clock, timers, settings);
         intake = new RequestIntake(settings, customers, requests, dispatcher, traffic, clock, actions, marginMs);
 
--- a/src/main/java/quotagateway/policy/admission/OpenRequests.java
+++ b/src/main/java/quotagateway/policy/admission/OpenRequests.java
@@ -6,6 +6,7 @@
 import quotagateway.policy.api.FailureReason;
 import quotagateway.policy.api.PolicyActions;
 import quotagateway.policy.retry.IdempotencyRule;
+import quotagateway.policy.traffic.TrafficMeter;
 
 /**
  * The requests that are not done with, by the host's number. Ends each of them once: it is completed, leaves its queue,
@@ -14,12 +15,15 @@
 public final class OpenRequests {
     private final Capabilities capabilities;
     private final IdempotencyRule idempotency;
+    private final TrafficMeter traffic;
     private final PolicyActions actions;
     private final Map<Long, PendingRequest> requests = new HashMap<>();
 
-    public OpenRequests(Capabilities capabilities, IdempotencyRule idempotency, PolicyActions actions) {
+    public OpenRequests(
+            Capabilities capabilities, IdempotencyRule idempotency, TrafficMeter traffic, PolicyActions actions) {
         this.capabilities = capabilities;
         this.idempotency = idempotency;
+        this.traffic = traffic;
         this.actions = actions;
     }
 
@@ -35,6 +39,7 @@
     /** Gives the final response of a request that no endpoint can give any more. */
     void refuse(PendingRequest request, FailureReason reason) {
         if (idempotency.mayReject(request.attempts())) {
+            traffic.onRejection();
             // what was short stays so for a while: a client that comes back sooner costs calls and finds no more
             double retryAfterMs = capabilities.retryAfter() ? capabilities.maxRetryAfter() : 0;
             actions.reject(request.id(), retryAfterMs, reason);
--- a/src/main/java/quotagateway/policy/admission/RequestIntake.java
+++ b/src/main/java/quotagateway/policy/admission/RequestIntake.java
@@ -62,7 +62,11 @@
         customer.quota().onRequest(incoming.units());
         traffic.onRequest();
         double objectiveMs = state.latency().requestClass().latencyObjective();
-        double usefulMs = objectiveMs - state.waits().waitedBefore(incoming.clientTimeout());
+        double waitedBeforeMs = state.waits().waitedBefore(incoming.clientTimeout());
+        if (incoming.retry() || waitedBeforeMs > 0) {
+            traffic.onRepeat();
+        }
+        double usefulMs = objectiveMs - waitedBeforeMs;
         boolean isUseful = usefulMs > 0;
         PendingRequest request = new PendingRequest(
                 incoming,
--- a/src/main/java/quotagateway/policy/quota/CustomerQuota.java
+++ b/src/main/java/quotagateway/policy/quota/CustomerQuota.java
@@ -51,7 +51,7 @@
                 holder.local(), holder.local() ? Math.floor(plan.burst() / holder.gatewayCount()) : 0, now);
         share = new ShareCalculator(holder, now);
         estimate = new StoreEstimate(holder, share, now);
-        grants = new GrantEstimator(plan, context.limiter(), context.usualGrant());
+        grants = new GrantEstimator(plan, context.limiter(), context.traffic(), context.usualGrant());
         lease = new QuotaLease(holder, context, demand, counter, balance, estimate, share, grants);
         openRequests =
                 plan.concurrencyLimit() > 0 ? new ConcurrencyQuota(holder, context, demand, counter, grants) : null;
--- a/src/main/java/quotagateway/policy/quota/GrantEstimator.java
+++ b/src/main/java/quotagateway/policy/quota/GrantEstimator.java
@@ -3,6 +3,7 @@
 import quotagateway.policy.api.QuotaPlan;
 import quotagateway.policy.statistics.Ewma;
 import quotagateway.policy.traffic.SendRateLimiter;
+import quotagateway.policy.traffic.TrafficMeter;
 
 /** How much of what one customer asks for is inside its quota, by the counter's last replies. */
 final class GrantEstimator {
@@ -13,13 +14,15 @@
 
     private final QuotaPlan plan;
     private final SendRateLimiter limiter;
+    private final TrafficMeter traffic;
     private final Ewma usualGrant;
     private double grant;
 
     /** @param usualGrant that of all customers, where this one begins */
-    GrantEstimator(QuotaPlan plan, SendRateLimiter limiter, Ewma usualGrant) {
+    GrantEstimator(QuotaPlan plan, SendRateLimiter limiter, TrafficMeter traffic, Ewma usualGrant) {
         this.plan = plan;
         this.limiter = limiter;
+        this.traffic = traffic;
         this.usualGrant = usualGrant;
         grant = usualGrant.value();
     }
@@ -46,11 +49,14 @@
 
     /**
      * Whether to admit a request without asking earns more than it costs: by the plan's prices of a request beyond the
-     * quota, and where endpoints are not pressed.
+     * quota, and where endpoints are not pressed. Inside the quota it earns only what a rejection would lose for good:
+     * where clients come again, most of them are served later.
      */
     boolean paysToAdmitUnasked() {
         double cost = plan.excessCost();
-        double breakEven = cost / (1 + cost - Math.min(plan.excessWeight(), MAX_EXCESS_WEIGHT));
+        double lostByRejection = 1 - traffic.sentLaterShare();
+        double gain = lostByRejection * (1 - Math.min(plan.excessWeight(), MAX_EXCESS_WEIGHT));
+        double breakEven = cost / (cost + gain);
         return limiter.isAboveDemand() && grant > breakEven;
     }
 }
--- a/src/main/java/quotagateway/policy/quota/QuotaContext.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaContext.java
@@ -7,6 +7,7 @@
 import quotagateway.policy.timer.ResplitSchedule;
 import quotagateway.policy.timer.TimerQueue;
 import quotagateway.policy.traffic.SendRateLimiter;
+import quotagateway.policy.traffic.TrafficMeter;
 
 /**
  * What the quotas of all customers share.
@@ -20,6 +21,7 @@
         TimerQueue timers,
         ResplitSchedule schedule,
         SendRateLimiter limiter,
+        TrafficMeter traffic,
         CounterCalls calls,
         Ewma usualGrant) {
     /** Until seen, all that is claimed is taken to be granted. */
--- a/src/main/java/quotagateway/policy/traffic/TrafficMeter.java
+++ b/src/main/java/quotagateway/policy/traffic/TrafficMeter.java
@@ -17,7 +17,11 @@
     private final Ewma requestsPerSecond = new Ewma(FAST_EWMA_WEIGHT, 0);
     private final Ewma attemptsInFlight = new Ewma(FAST_EWMA_WEIGHT, 0);
     private final Ewma sentShare = new Ewma(SLOW_EWMA_WEIGHT, INITIAL_SENT_SHARE);
+    private final Ewma repeatsPerPeriod = new Ewma(SLOW_EWMA_WEIGHT, 0);
+    private final Ewma rejectionsPerPeriod = new Ewma(SLOW_EWMA_WEIGHT, 0);
     private double requestsInPeriod;
+    private double repeatsInPeriod;
+    private double rejectionsInPeriod;
     private double sendsInPeriod;
     private double latencyInPeriodMs;
     private long periods;
@@ -27,6 +31,16 @@
         requestsInPeriod++;
     }
 
+    /** The request that came last is a client's retry, by what it says or by how little time it has left. */
+    public void onRepeat() {
+        repeatsInPeriod++;
+    }
+
+    /** A request was rejected. */
+    public void onRejection() {
+        rejectionsInPeriod++;
+    }
+
     /** An attempt was sent that takes about this long. */
     public void onSend(double expectedLatencyMs) {
         sendsInPeriod++;
@@ -44,6 +58,10 @@
         if (requestsPerSecond() > 0) {
             sentShare.add(Math.min(1, sendsPerSecond() / requestsPerSecond()));
         }
+        repeatsPerPeriod.add(repeatsInPeriod);
+        rejectionsPerPeriod.add(rejectionsInPeriod);
+        repeatsInPeriod = 0;
+        rejectionsInPeriod = 0;
         sendsInPeriod = 0;
         requestsInPeriod = 0;
         latencyInPeriodMs = 0;
@@ -62,6 +80,19 @@
         return sentShare.value();
     }
 
+    /**
+     * The part of rejected requests that is sent on after all, when their clients come again; 0 until that was seen. A
+     * client comes again with the probability p of repeats for each rejection and is sent on with that of all requests,
+     * s, and otherwise it is as before: {@code p s + p (1 - s) p s + ...}.
+     */
+    public double sentLaterShare() {
+        if (rejectionsPerPeriod.value() <= 0) {
+            return 0;
+        }
+        double comesAgain = Math.min(1, repeatsPerPeriod.value() / rejectionsPerPeriod.value());
+        return comesAgain * sentShare() / (1 - comesAgain * (1 - sentShare()));
+    }
+
     /** Mean number of attempts in flight. */
     public double attemptsInFlight() {
         return attemptsInFlight.value();
--- a/src/test/java/quotagateway/policy/admission/AdmissionTest.java
+++ b/src/test/java/quotagateway/policy/admission/AdmissionTest.java
@@ -15,6 +15,7 @@
 import quotagateway.policy.retry.IdempotencyRule;
 import quotagateway.policy.testing.PolicyValues;
 import quotagateway.policy.testing.RecordingActions;
+import quotagateway.policy.traffic.TrafficMeter;
 
 /** The parts of admission that need no quota and no endpoint. */
 class AdmissionTest {
@@ -22,8 +23,8 @@
 
     private final ClassLatency read = new ClassLatency(PolicyValues.READ); // 100 ms in the mean
     private final RecordingActions host = new RecordingActions();
-    private final OpenRequests requests =
-            new OpenRequests(PolicyValues.settings(1).capabilities(), new IdempotencyRule(MARGIN), host);
+    private final OpenRequests requests = new OpenRequests(
+            PolicyValues.settings(1).capabilities(), new IdempotencyRule(MARGIN), new TrafficMeter(), host);
     private final AdmissionQueue queue = new AdmissionQueue();
 
     private static Customer customer() {
--- a/src/test/java/quotagateway/policy/quota/GrantEstimatorTest.java
+++ b/src/test/java/quotagateway/policy/quota/GrantEstimatorTest.java
@@ -15,7 +15,7 @@
     /** Of a plan where a request beyond the quota earns and costs these parts of its worth. */
     private GrantEstimator grants(double excessWeight, double excessCost) {
         QuotaPlan plan = new QuotaPlan("p", 8, 8, 0, 1, excessWeight, excessCost, 0, 0, 0);
-        return new GrantEstimator(plan, fixture.context.limiter(), usualGrant);
+        return new GrantEstimator(plan, fixture.context.limiter(), fixture.traffic, usualGrant);
     }
 
     @Test
@@ -51,6 +51,26 @@
         assertTrue(cheap.paysToAdmitUnasked());
     }
 
+    /**
+     * A rejected client comes again, and most of them are served then. The gain of an admission was set at the whole
+     * worth of the request all the same, so that units beyond quotas were paid for requests that would not be lost.
+     */
+    @Test
+    void unaskedAdmissionPaysLessWhereRejectedClientsComeAgain() {
+        GrantEstimator grants = grants(0, 1);
+        grants.recordClaim(0.4); // 0.7 is granted
+        assertTrue(grants.paysToAdmitUnasked(), "above a half");
+        for (int period = 0; period < 200; period++) {
+            fixture.traffic.onRequest();
+            fixture.traffic.onRepeat();
+            fixture.traffic.onSend(1);
+            fixture.traffic.onRejection();
+            fixture.traffic.endPeriod();
+        }
+        fixture.context.limiter().startWith(100);
+        assertFalse(grants.paysToAdmitUnasked(), "nothing is lost by a rejection");
+    }
+
     @Test
     void planWithoutACostHasABreakEvenToo() {
         assertTrue(grants(1, 0).paysToAdmitUnasked());
--- a/src/test/java/quotagateway/policy/quota/QuotaFixture.java
+++ b/src/test/java/quotagateway/policy/quota/QuotaFixture.java
@@ -52,6 +52,7 @@
     final EventClock clock = new EventClock(0);
     final RecordingActions host = new RecordingActions();
     final Demand demand = new Demand();
+    final TrafficMeter traffic = new TrafficMeter();
     final CounterCalls calls;
     final QuotaContext context;
 
@@ -59,7 +60,7 @@
         PolicySettings settings = PolicyValues.settings(gateways);
         TimerQueue timers = new TimerQueue(clock, host);
         LatencyObjectives objectives = LatencyObjectives.of(settings.requestClasses());
-        SendRateLimiter limiter = new SendRateLimiter(settings, objectives, clock, timers, new TrafficMeter());
+        SendRateLimiter limiter = new SendRateLimiter(settings, objectives, clock, timers, traffic);
         calls = new CounterCalls(host, clock, new CounterCallWindow(settings, clock, timers, new Random(1)));
         context = new QuotaContext(
                 settings,
@@ -68,6 +69,7 @@
                 timers,
                 new ResplitSchedule(settings),
                 limiter,
+                traffic,
                 calls,
                 QuotaContext.newUsualGrant());
     }
--- a/src/test/java/quotagateway/policy/traffic/TrafficMeterTest.java
+++ b/src/test/java/quotagateway/policy/traffic/TrafficMeterTest.java
@@ -54,4 +54,23 @@
         assertFalse(traffic.isWarmingUp());
         assertEquals(4, traffic.periods());
     }
+
+    @Test
+    void partOfTheRejectedRequestsIsSentLater() {
+        TrafficMeter traffic = new TrafficMeter();
+        assertEquals(0, traffic.sentLaterShare(), "nothing was rejected yet");
+        for (int period = 0; period < 1000; period++) {
+            for (int i = 0; i < 4; i++) {
+                traffic.onRequest();
+            }
+            traffic.onRepeat();
+            traffic.onRejection();
+            traffic.onRejection();
+            traffic.onSend(1);
+            traffic.onSend(1);
+            traffic.endPeriod();
+        }
+        // half of the rejected come again and half of all are sent: 1/4 + 1/16 + 1/64 + ...
+        assertEquals(1.0 / 3, traffic.sentLaterShare(), 1e-3);
+    }
 }
