--- a/src/main/java/quotagateway/discovery/EndpointListForwarder.java
+++ b/src/main/java/quotagateway/discovery/EndpointListForwarder.java
@@ -8,7 +8,7 @@
 
 /**
  * Hands lists on to the listener, and their versions to the client. During a change of the address lists of the former
- * agent and of the new one may come at the same time. Once the new agent has named endpoints, the former one is believed
+ * agent and of the new one may come at the same time. Once the new agent has named endpoints, the former one is heard
  * only where it takes endpoints out of use: it may lag behind, and must not set up again what the new one has named as
  * draining.
  */
--- a/src/main/java/quotagateway/policy/timer/ResplitSchedule.java
+++ b/src/main/java/quotagateway/policy/timer/ResplitSchedule.java
@@ -17,8 +17,8 @@
     }
 
     /**
-     * The first re-split of this gateway after this time. The sum may round to the time itself where that is a re-split:
-     * a timer set to now would run again at once, for ever.
+     * The first re-split of this gateway after this time. The sum may round to the time itself where that is one: a
+     * timer set to now would run again at once, for ever.
      */
     public double nextAfter(double now) {
         double next = (Math.floor((now - phaseMs) / PERIOD_MS) + 1) * PERIOD_MS + phaseMs;
--- a/src/main/java/quotagateway/scale/soak/FaultPeriod.java
+++ b/src/main/java/quotagateway/scale/soak/FaultPeriod.java
@@ -34,7 +34,7 @@
         return node == ALL_NODES || node == otherNode;
     }
 
-    /** How long (ms) after a change a node may not know of it, for an attempt that began at a time; 0 for not at all. */
+    /** How long (ms) after a change a node may not know of it, for an attempt that began then; 0 for not at all. */
     double notificationDelay(int ofNode, double changeAt, double attemptAt) {
         boolean disturbs = concerns(ofNode) && from < attemptAt && until > changeAt - toldWithinMs;
         return disturbs ? Math.max(0, until - changeAt) + toldWithinMs : 0;
