--- a/src/main/java/quotagateway/scale/soak/NodeProcess.java
+++ b/src/main/java/quotagateway/scale/soak/NodeProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,8 +23,6 @@
     public enum Signal {
         TERM,
         HUP,
-        STOP,
-        CONT,
         KILL
     }
 
@@ -107,17 +106,20 @@
         }
     }
 
+    private static Process shell(String command) throws IOException {
+        return new ProcessBuilder("/bin/sh", "-c", command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+    }
+
     /** By the shell's own command, as Java has no call for these. */
     private void kill(Signal signal) {
         if (!isAlive()) {
             return;
         }
         try {
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
-                    .redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                    .start()
-                    .waitFor();
+            shell("kill -" + signal + " " + process.pid()).waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
@@ -125,6 +127,20 @@
         }
     }
 
+    /**
+     * Stops the process for so many milliseconds. The shell that lets it go on is there before it is stopped: on a busy
+     * machine a shell takes seconds to start, and the process would be held up for that long.
+     */
+    public void pause(long milliseconds) throws IOException, InterruptedException {
+        Process continuing = shell("read line; kill -CONT " + process.pid());
+        try (Writer line = continuing.outputWriter()) {
+            shell("kill -STOP " + process.pid()).waitFor();
+            Thread.sleep(milliseconds);
+            line.write("now\n");
+        }
+        continuing.waitFor();
+    }
+
     public boolean isAlive() {
         return process.isAlive();
     }
--- a/src/main/java/quotagateway/scale/soak/NodeSlot.java
+++ b/src/main/java/quotagateway/scale/soak/NodeSlot.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import quotagateway.scale.NodeLaunch;
 
@@ -337,11 +336,8 @@
     }
 
     /** Stops the process for a time and lets it go on. */
-    void pause(long milliseconds) throws InterruptedException {
-        NodeProcess process = current;
-        process.signal(NodeProcess.Signal.STOP);
-        TimeUnit.MILLISECONDS.sleep(milliseconds);
-        process.signal(NodeProcess.Signal.CONT);
+    void pause(long milliseconds) throws IOException, InterruptedException {
+        current.pause(milliseconds);
     }
 
     /** Ends the process at the end of the run, as a restart does. */
