An overloaded discovery is called again with growing delays, from the version known

Cause, by the log of: all watches are reset together, discovery turns calls away with 503, and each node called again every 60 ms (MAX_DELAY_MS, made for an agent on this machine) for seconds. Six nodes kept discovery full by that. A call that was turned away also forgot the list's version, and each failure left two timers that made calls, the client's and the policy's. Mend: behind 429 and 5xx of a discovery that all gateways share the client waits 0.1 s, doubling to 1.5 s, and keeps its version; one backoff has one timer, and subscribe() does not cut it short. 1.5 s and a silent call behind it stay under the 6 s for news. With an agent of its own all is as before. Test: DiscoveryClientTest, seen to fail; its walk through all states runs with a shared discovery too.

--- a/src/main/java/quotagateway/discovery/DiscoveryBackoff.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryBackoff.java
@@ -22,8 +22,20 @@
     /** Two calls of this length (ms) in a row, a lost one and a silent one, stay under the 6 s for news. */
     static final double MAX_ANSWER_TIMEOUT_MS = 2500;
 
+    /**
+     * Where lists have to be asked for, one discovery of fixed capacity answers the calls of all gateways in turn, and
+     * turns away those that are too many: the delays behind that grow up to this (ms). With MAX_DELAY_MS all gateways
+     * whose watches had ended together kept it full, each call by itself, and none heard of a change. A call that was
+     * turned away and a silent one behind it stay under the 6 s for news.
+     */
+    static final double MAX_OVERLOAD_DELAY_MS = 1500;
+
+    private static final double INITIAL_OVERLOAD_DELAY_MS = 100;
+
     private final SplittableRandom random;
     private final ExponentialBackoff delay = new ExponentialBackoff(INITIAL_DELAY_MS, MAX_DELAY_MS);
+    private final ExponentialBackoff overloadDelay =
+            new ExponentialBackoff(INITIAL_OVERLOAD_DELAY_MS, MAX_OVERLOAD_DELAY_MS);
     private final ExponentialBackoff answerTimeout =
             new ExponentialBackoff(INITIAL_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS);
 
@@ -34,6 +46,7 @@
     /** A call has worked, or the address is new. */
     void reset() {
         delay.reset();
+        overloadDelay.reset();
         answerTimeout.reset();
     }
 
@@ -42,6 +55,11 @@
         return delay.nextJitteredMs(random);
     }
 
+    /** The time (ms) until the next call is made, where discovery has turned the last one away as it is overloaded. */
+    double nextOverloadDelayMs() {
+        return overloadDelay.nextJitteredMs(random);
+    }
+
     /** The time (ms) that the call that is made now may take to answer. */
     double nextAnswerTimeoutMs() {
         return answerTimeout.nextMs();
--- a/src/main/java/quotagateway/discovery/DiscoveryClient.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryClient.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -62,7 +64,14 @@
     /** The connection to {@link #address}; null unless connected. */
     private DiscoveryConnection connection;
 
+    /** Whether one discovery answers all gateways, each by its own calls; else an agent does, on this machine. */
+    private final boolean discoveryIsShared;
+
     private long version = NO_VERSION;
+    /** Whether the last call was turned away by a discovery that has too many; until the next one is made. */
+    private boolean turnedAway;
+    /** The number of the last backoff: the timer of an earlier one makes no call any more. */
+    private int backoffNumber;
 
     /** Makes a client that is idle until {@link #start}; its connections are on the group's loop. */
     public DiscoveryClient(
@@ -77,6 +86,7 @@
         address = ConfiguredAddress.initial(config.discoveryAddress());
         random = new SplittableRandom(config.seed());
         backoff = new DiscoveryBackoff(random);
+        discoveryIsShared = config.settings().mustSubscribe();
         lists = new EndpointListForwarder(loop, listener, this, config.maxEndpoints());
     }
 
@@ -109,9 +119,11 @@
         }
     }
 
-    /** Makes the next call now, unless one is being made or a watch is open. */
+    /** Makes the next call now, unless one is being made, a watch is open or discovery has turned the last one away. */
     public void subscribe() {
-        connect();
+        if (!turnedAway) {
+            connect();
+        }
     }
 
     /**
@@ -149,6 +161,7 @@
             return;
         }
         state = State.CONNECTING;
+        turnedAway = false;
         ConfiguredAddress target = address;
         connector
                 .connect(target.address(), new ChannelInitializer<Channel>() {
@@ -177,7 +190,13 @@
 
     private void backOff() {
         state = State.BACKING_OFF;
-        loop.schedule(backoff.nextDelayMs(), this::connect);
+        int number = ++backoffNumber;
+        double delayMs = turnedAway ? backoff.nextOverloadDelayMs() : backoff.nextDelayMs();
+        loop.schedule(delayMs, () -> {
+            if (number == backoffNumber) {
+                connect();
+            }
+        });
         listener.onDiscoveryFailed();
         loop.flush();
     }
@@ -211,12 +230,22 @@
         ready.complete(null);
     }
 
-    /** The agent does not know the version any more; asked from it again it would refuse for ever. */
-    void onRefused(ConfiguredAddress source) {
+    /**
+     * A call was refused: discovery has too many, or does not know the version any more and would refuse a watch from
+     * it for ever.
+     */
+    void onRefused(ConfiguredAddress source, HttpResponseStatus status) {
         logStep(source, Step.REJECTED);
-        if (isCurrent(source)) {
-            version = NO_VERSION;
+        if (!isCurrent(source)) {
+            return;
         }
+        turnedAway = discoveryIsShared && isOverload(status);
+        version = turnedAway ? version : NO_VERSION;
+    }
+
+    private static boolean isOverload(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                || status.codeClass() == HttpStatusClass.SERVER_ERROR;
     }
 
     /** A list or change has ended; see {@link EndpointListHandler#onListEnded}. */
--- a/src/main/java/quotagateway/discovery/DiscoveryConnection.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryConnection.java
@@ -101,7 +101,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
         if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
             failed = true; // whatever its body is, and even if that never ends
-            client.onRefused(source());
+            client.onRefused(source(), response.status());
             ctx.close();
         }
         if (!failed
--- a/src/main/java/quotagateway/discovery/WatchTimeout.java
+++ b/src/main/java/quotagateway/discovery/WatchTimeout.java
@@ -13,6 +13,8 @@
  * <table><caption>Longest time until the next call (ms), and with one more silent call behind it</caption>
  * <tr><th>state</th><th>sum</th><th>next call</th><th>one silent call more</th></tr>
  * <tr><td>backoff after a call that was refused, reset or ended</td><td>MAX_DELAY_MS</td><td>80</td><td>2760</td></tr>
+ * <tr><td>backoff after a call that an overloaded discovery of all gateways has turned away</td>
+ * <td>MAX_OVERLOAD_DELAY_MS</td><td>1500</td><td>4180</td></tr>
  * <tr><td>connecting</td><td>CONNECT_TIMEOUT_MS + backoff</td><td>580</td><td>3260</td></tr>
  * <tr><td>part of a list, and no more of it</td><td>5 x STALLED_LIST_MS + backoff</td><td>480</td>
  * <td>3160</td></tr>
--- a/src/test/java/quotagateway/discovery/DiscoveryClientTest.java
+++ b/src/test/java/quotagateway/discovery/DiscoveryClientTest.java
@@ -78,6 +78,7 @@
         /** How the next call alone is treated; null where it is as all others. */
         private CallFate nextFate;
 
+        private int calls;
         private boolean news;
         private boolean silent;
         private double heardAt = Double.MAX_VALUE;
@@ -87,11 +88,13 @@
 
         public World(boolean policyAsks) {
             this.policyAsks = policyAsks;
-            discovery = new DiscoveryClient(this, this, this, GatewayConfig.of(json("""
+            String asked = policyAsks ? "on_request" : "pushed";
+            String config = """
                 {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","name":"n","seed":"5",
-                 "limits":{"memory_mb":32},"settings":{"rank":0,"group_size":1,
+                 "limits":{"memory_mb":32},"settings":{"rank":0,"group_size":1,"discovery":"%s",
                  "request_classes":[{"name":"r","effect":"read_like","aim":6,"hard_limit":9}],
-                 "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""), Map.of()));
+                 "tariffs":[{"name":"p","per_second":8,"depth":8}]}}""".formatted(asked);
+            discovery = new DiscoveryClient(this, this, this, GatewayConfig.of(json(config), Map.of()));
         }
 
         private static Json json(String text) {
@@ -133,6 +136,7 @@
 
         @Override
         public ChannelFuture connect(InetSocketAddress to, ChannelHandler handler) {
+            calls++;
             CallFate applied = nextFate == null ? fate : nextFate;
             nextFate = null;
             if (applied == CallFate.NO_CONNECTION || applied == CallFate.CONNECT_TIMEOUT) {
@@ -305,6 +309,26 @@
         assertTrue(worst > 3000, "the states are gone through: " + worst);
     }
 
+    /**
+     * Where lists have to be asked for, one discovery serves all gateways, and turns away what is too much. On a day of
+     * the loans site all watches were reset together; each gateway then called again every 60 ms, and was turned away
+     * with 503 some hundred times. Discovery stayed full by these calls alone, and 1.3 s after servers had begun to
+     * drain no gateway had heard of it. In the log: {@code step=REJECTED} every 60 ms, from 2.8 to 7.6 s.
+     */
+    @Test
+    void callsThatAnOverloadedDiscoveryTurnsAwayBackOff() {
+        World shared = new World(true);
+        shared.fate = CallFate.REFUSAL_OPEN;
+        shared.discovery.start(null);
+        shared.to(10_000);
+        assertTrue(shared.calls <= 20, "calls in 10 s: " + shared.calls);
+        World agent = new World(false);
+        agent.fate = CallFate.REFUSAL_OPEN;
+        agent.discovery.start(null);
+        agent.to(10_000);
+        assertTrue(agent.calls > 100, "an agent on this machine answers at no cost: " + agent.calls);
+    }
+
     private static String hosts(int number) {
         return String.join(
                 ",",
