--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,8 +6,10 @@
 [ -f "$root/target/quota-gateway.jar" ] && [ -d "$root/review/target/classes" ] || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-trap 'exit 2' INT TERM
-java -Xmx512m -cp "$root/review/target/classes" "$2" "$root" "$temporary" "$folder/record.txt"
+java -Xmx512m -cp "$root/review/target/classes" "$2" "$root" "$temporary" "$folder/record.txt" &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' INT TERM
+wait "$child"
 code=$?
 cat "$temporary"/*.log | cut -c1-300 | head -n 60 | sed 's/^/gateway log: /' >> "$folder/record.txt"
 [ "$code" = 0 ] || [ "$code" = 1 ] || code=2
--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -10,6 +10,9 @@
     /** Half a second after its time a request is lost, and each limit is 50 ms longer on sockets. */
     static final int TOO_LATE_MS = 550;
 
+    /** A run that takes longer could not run: it is ended, with all that it has started. */
+    private static final int LONGEST_RUN_MS = 110_000;
+
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Record record;
     final Discovery discovery = new Discovery();
@@ -26,6 +29,10 @@
         record.say(trouble ? "with the disruption" : "without the disruption");
         discovery.start();
         counter.start();
+        Service.daemon(() -> {
+            Thread.sleep(LONGEST_RUN_MS);
+            System.exit(2);
+        });
     }
 
     /** Starts a place server, and lists it. */
