--- a/src/main/java/quotagateway/admin/AdminServer.java
+++ b/src/main/java/quotagateway/admin/AdminServer.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import quotagateway.transport.AcceptFailureHandler;
+import quotagateway.transport.DirectMemory;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.transport.Transport;
 
@@ -78,6 +79,7 @@
                                         loop, () -> channel.config().setAutoRead(true)));
                     }
                 })
+                .childOption(ChannelOption.ALLOCATOR, DirectMemory.allocator())
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -17,6 +17,7 @@
 import quotagateway.resp.RespFrameTracker;
 import quotagateway.streaming.RequestBody;
 import quotagateway.transport.EventLoopContext;
+import quotagateway.transport.ReceivedBufferCompactor;
 
 /**
  * One connection of a client: accepts commands, and writes the responses in the order of the commands. The connection
@@ -63,8 +64,8 @@
     /** Adds the connection's handlers to its channel; called once, before anything is read. */
     void addHandlers() {
         ChannelPipeline pipeline = channel.pipeline();
-        pipeline.addLast(readAhead);
-        frameTracker = RespCodec.addHandlers(pipeline, MAX_ARGUMENTS, largeBody);
+        pipeline.addLast(ReceivedBufferCompactor.INSTANCE, readAhead);
+        frameTracker = RespCodec.addHandlers(pipeline, MAX_ARGUMENTS, requestHandler::hasRoomForRequest, largeBody);
         pipeline.addLast(this);
     }
 
--- a/src/main/java/quotagateway/client/ClientListener.java
+++ b/src/main/java/quotagateway/client/ClientListener.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import java.net.SocketAddress;
 import quotagateway.transport.AcceptFailureHandler;
+import quotagateway.transport.DirectMemory;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.transport.Transport;
 
@@ -83,7 +84,10 @@
                 .option(Transport.reusePort(), true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptUntilQueueIsEmpty())
                 .handler(new ServerInitializer())
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.newReadToEndAllocator())
+                .childOption(ChannelOption.ALLOCATOR, DirectMemory.allocator())
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        Transport.newReadToEndAllocator(() -> !requestHandler.hasRoomForRequest(0)))
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
--- a/src/main/java/quotagateway/client/ClientRequestHandler.java
+++ b/src/main/java/quotagateway/client/ClientRequestHandler.java
@@ -16,9 +16,12 @@
      */
     String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body, double receivedAtMs);
 
-    /** Returns whether the buffers of all requests are full, so that reading from clients has to pause. */
+    /** Returns whether memory is so short that reading from clients has to pause. */
     boolean isMemoryExhausted();
 
+    /** Returns whether so many more bytes of a request that arrives in several reads may be held. */
+    boolean hasRoomForRequest(int bytes);
+
     /** Returns whether the node may still start to listen. */
     boolean mayListen();
 
--- a/src/main/java/quotagateway/client/LargeBodyReceiver.java
+++ b/src/main/java/quotagateway/client/LargeBodyReceiver.java
@@ -9,7 +9,7 @@
 
 /**
  * Receives the large body of a command on one connection. The command arrives before its body, and is kept here until
- * {@link RequestBody#MAX_BUFFERED_BYTES} or the complete body is buffered, or the buffers of all requests are full. The
+ * {@link RequestBody#MAX_BUFFERED_BYTES} or the complete body is buffered, or there is no memory for more of it. The
  * command is then submitted, so that an endpoint can be chosen, to which the rest of the body is forwarded as it
  * arrives. A body whose command was answered without it is read and dropped.
  */
@@ -62,11 +62,12 @@
         } else {
             timer.restart();
         }
-        if (!connection.isReading() || !commandAttached) {
+        boolean hasRoom = currentBody.isConsumed() || requestHandler.hasRoomForRequest(part.readableBytes());
+        if (!connection.isReading() || !commandAttached || !hasRoom) {
             currentBody.discard();
         }
         currentBody.append(part);
-        if (pendingCommand != null && (currentBody.isReadyToForward() || requestHandler.isMemoryExhausted())) {
+        if (pendingCommand != null && (currentBody.isReadyToForward() || currentBody.isConsumed())) {
             submitCommand(currentBody);
         }
     }
--- a/src/main/java/quotagateway/config/GatewayConfig.java
+++ b/src/main/java/quotagateway/config/GatewayConfig.java
@@ -24,6 +24,7 @@
  * @param settings what the policy is told
  * @param keepAliveMs how long an endpoint keeps an idle connection
  * @param connectTimeoutMs how long a connection to an endpoint may take to come up
+ * @param maxMemoryBytes memory that the process may take, together with another version that it replaces
  * @param maxEndpoints the longest endpoint list that the memory limit bears
  */
 public record GatewayConfig(
@@ -39,6 +40,7 @@
         PolicySettings settings,
         double keepAliveMs,
         double connectTimeoutMs,
+        long maxMemoryBytes,
         int maxEndpoints) {
     private static final String CONFIG_FILE_VARIABLE = "EDGE_CONFIG";
     private static final String NAME_VARIABLE = "EDGE_NAME";
@@ -94,6 +96,7 @@
     private static GatewayConfig of(Json root, Map<String, String> environment, CachedEndpointList cachedEndpoints) {
         Map<String, String> values = SettingsFlattener.flatten(root.get("settings"));
         Json limits = root.get("limits");
+        long maxMemoryBytes = (long) (limits.get("memory_mb").number(DEFAULT_MEMORY_MB) * BYTES_PER_MB);
         return new GatewayConfig(
                 requiredText(environment, NAME_VARIABLE, root, "name"),
                 address("listen", requiredText(environment, LISTEN_VARIABLE, root, "listen")),
@@ -110,7 +113,8 @@
                 SettingsReader.read(values),
                 positiveOr(SettingsReader.number(values, "limits.keepalive"), DEFAULT_KEEP_ALIVE_MS),
                 positiveOr(SettingsReader.number(values, "limits.connect_timeout"), DEFAULT_CONNECT_TIMEOUT_MS),
-                maxEndpoints(limits.get("memory_mb").number(DEFAULT_MEMORY_MB)));
+                maxMemoryBytes,
+                maxEndpoints(maxMemoryBytes));
     }
 
     private static String requiredText(Map<String, String> environment, String variable, Json root, String member) {
@@ -146,7 +150,7 @@
         }
     }
 
-    private static int maxEndpoints(double memoryMb) {
-        return (int) Math.min(Integer.MAX_VALUE, memoryMb * BYTES_PER_MB / BYTES_PER_ENDPOINT);
+    private static int maxEndpoints(long maxMemoryBytes) {
+        return (int) Math.min(Integer.MAX_VALUE, maxMemoryBytes / BYTES_PER_ENDPOINT);
     }
 }
--- a/src/main/java/quotagateway/counter/CounterConnection.java
+++ b/src/main/java/quotagateway/counter/CounterConnection.java
@@ -20,6 +20,7 @@
 import quotagateway.transport.ConfiguredAddress;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.transport.ExponentialBackoff;
+import quotagateway.transport.ReceivedBufferCompactor;
 
 /**
  * A connection to the counter, which is opened anew whenever it ends, as long as its address is the configured one.
@@ -99,6 +100,7 @@
         ChannelFuture connected = client.connector().connect(address.address(), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel opened) {
+                opened.pipeline().addLast(ReceivedBufferCompactor.INSTANCE);
                 frames = RespCodec.addHandlers(opened.pipeline(), CounterProtocol.MAX_REPLY_ELEMENTS);
                 opened.pipeline().addLast(new ReplyHandler());
             }
--- a/src/main/java/quotagateway/node/ActiveRequest.java
+++ b/src/main/java/quotagateway/node/ActiveRequest.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
-import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
@@ -33,7 +32,6 @@
     private final ClientCommand command;
     private final RequestBody body;
     private final ResponseDeadline deadline;
-    private final int bufferedBytes;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private int attemptsInFlight;
     private double completedAtMs = NOT_COMPLETED;
@@ -63,15 +61,6 @@
         this.command = command;
         this.body = body;
         this.deadline = deadline;
-        bufferedBytes = argumentBytes(message) + (body == null ? 0 : RequestBody.MAX_BUFFERED_BYTES);
-    }
-
-    private static int argumentBytes(ArrayRedisMessage message) {
-        int bytes = 0;
-        for (RedisMessage argument : message.children()) {
-            bytes += ((FullBulkStringRedisMessage) argument).content().readableBytes();
-        }
-        return bytes;
     }
 
     long id() {
@@ -95,11 +84,6 @@
         return deadline;
     }
 
-    /** The upper bound (bytes) on the memory that the values of the request take from its start to its release. */
-    int bufferedBytes() {
-        return bufferedBytes;
-    }
-
     // ---- client ----
 
     /** Whether the request has its response, or its client has disconnected. */
--- a/src/main/java/quotagateway/node/BackendClients.java
+++ b/src/main/java/quotagateway/node/BackendClients.java
@@ -6,6 +6,7 @@
 import quotagateway.discovery.DiscoveryClient;
 import quotagateway.startup.Readiness;
 import quotagateway.startup.StartupTimeline;
+import quotagateway.transport.DirectMemory;
 import quotagateway.upstream.EndpointPool;
 
 /**
@@ -24,6 +25,7 @@
             NodeEventLoop loop,
             GatewayConfig config,
             DescriptorBudget descriptors,
+            DirectMemory memory,
             PolicyInvoker policy,
             NodeTelemetry telemetry) {
         EndpointPool endpoints = new EndpointPool(
@@ -31,7 +33,8 @@
                 new EndpointEventForwarder(loop, policy, telemetry),
                 loop.group(),
                 config,
-                descriptors.endpointConnections());
+                descriptors.endpointConnections(),
+                memory::hasRoomForResponse);
         EndpointListForwarder discoveryListener = new EndpointListForwarder(loop, endpoints, policy, telemetry);
         DiscoveryClient discovery = new DiscoveryClient(loop, discoveryListener, loop.group(), config);
         CounterClient counter = new CounterClient(
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -12,6 +12,7 @@
 import quotagateway.policy.api.FailureReason;
 import quotagateway.policy.api.IncomingRequest;
 import quotagateway.policy.api.PolicySettings;
+import quotagateway.resp.DiscardedValue;
 import quotagateway.streaming.RequestBody;
 import quotagateway.transport.EventLoopContext;
 
@@ -72,8 +73,12 @@
         if (requests.hasClientId(command.id())) {
             return "a request of this id is open"; // endpoints could not distinguish the two
         }
-        if (requests.isPastShutdownDeadline(now)) {
-            rejectAfterShutdownDeadline(slot, command, body);
+        if (requests.isPastShutdownDeadline(now)) { // the process may be killed at any time, and the request be lost
+            reject(slot, command, body, FailureReason.SHUTDOWN);
+            return null;
+        }
+        if (isValueDiscarded(message, body)) {
+            reject(slot, command, body, FailureReason.MEMORY_SHORT);
             return null;
         }
         double clientWaitMs = clientTimeoutMs + (body == null ? receivedAtMs - now : body.remainingMs(now));
@@ -102,15 +107,17 @@
                 command.retry());
     }
 
-    /**
-     * Rejects a request that arrives after all responses were due: the process may be killed at any time, and an open
-     * request would be lost.
-     */
-    private void rejectAfterShutdownDeadline(ResponseSlot slot, ClientCommand command, RequestBody body) {
+    private static boolean isValueDiscarded(ArrayRedisMessage message, RequestBody body) {
+        return (body != null && body.isConsumed())
+                || message.children().stream().anyMatch(DiscardedValue.class::isInstance);
+    }
+
+    /** Rejects a request, of which nothing has been sent to an endpoint. */
+    private void reject(ResponseSlot slot, ClientCommand command, RequestBody body, FailureReason reason) {
         if (body != null) {
             body.discard();
         }
-        telemetry.onRequestCompleted(command, RequestOutcome.THROTTLED, FailureReason.SHUTDOWN);
+        telemetry.onRequestCompleted(command, RequestOutcome.THROTTLED, reason);
         slot.respond(new ErrorRedisMessage("BUSY"));
     }
 
@@ -119,6 +126,11 @@
         return memory.isExhausted();
     }
 
+    @Override
+    public boolean hasRoomForRequest(int bytes) {
+        return memory.hasRoomForRequest(bytes);
+    }
+
     @Override
     public boolean mayListen() {
         return guard.mayListen();
--- a/src/main/java/quotagateway/node/DescriptorBudget.java
+++ b/src/main/java/quotagateway/node/DescriptorBudget.java
@@ -2,6 +2,7 @@
 
 import quotagateway.admin.AdminServer;
 import quotagateway.client.ClientListener;
+import quotagateway.config.GatewayConfig;
 
 /**
  * Divides the file descriptors of a node between client connections, connections to endpoints, and the needs of the
@@ -34,6 +35,13 @@
         return new DescriptorBudget(maxSockets, AdminServer.MAX_CONNECTIONS + 1);
     }
 
+    /** Returns the budget of a gateway with this configuration. */
+    static DescriptorBudget of(GatewayConfig config) {
+        return config.adminAddress() == null
+                ? withoutAdminEndpoint(config.maxSockets())
+                : withAdminEndpoint(config.maxSockets());
+    }
+
     /** Returns the budget of a node without an admin endpoint. */
     static DescriptorBudget withoutAdminEndpoint(int maxSockets) {
         return new DescriptorBudget(maxSockets, 0);
--- a/src/main/java/quotagateway/node/GatewayNode.java
+++ b/src/main/java/quotagateway/node/GatewayNode.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import quotagateway.admin.AdminServer;
+import quotagateway.admin.MemoryMetrics;
 import quotagateway.admin.Metrics;
 import quotagateway.client.ClientListener;
 import quotagateway.config.GatewayConfig;
@@ -10,6 +11,7 @@
 import quotagateway.log.EventLog;
 import quotagateway.policy.api.PolicyActions;
 import quotagateway.policy.api.PolicyFactory;
+import quotagateway.transport.DirectMemory;
 
 /**
  * A gateway node: accepts clients' requests, lets the policy decide on them, and sends them to endpoints. This class
@@ -39,14 +41,12 @@
         NodeTelemetry telemetry = new NodeTelemetry(loop, eventLog, metrics);
         state = new NodeStateMachine(telemetry::onStateEntered);
         LifecycleGuard guard = new LifecycleGuard(config.settings(), state, telemetry::onInvariantViolated);
-        DescriptorBudget descriptors = config.adminAddress() == null
-                ? DescriptorBudget.withoutAdminEndpoint(config.maxSockets())
-                : DescriptorBudget.withAdminEndpoint(config.maxSockets());
-
+        DescriptorBudget descriptors = DescriptorBudget.of(config);
+        DirectMemory directMemory = DirectMemory.ofProcess(config.maxMemoryBytes());
         PolicyInvoker policy = new PolicyInvoker(loop);
-        backends = BackendClients.create(loop, config, descriptors, policy, telemetry);
-        MemoryBudget memory = new MemoryBudget();
-        RequestTable requests = new RequestTable(loop, guard, telemetry, policy, backends.endpoints(), memory);
+        backends = BackendClients.create(loop, config, descriptors, directMemory, policy, telemetry);
+        MemoryBudget memory = new MemoryBudget(loop, directMemory);
+        RequestTable requests = new RequestTable(loop, guard, telemetry, policy, backends.endpoints());
         AttemptHandler attemptHandler =
                 new AttemptHandler(loop, guard, telemetry, policy, backends.endpoints(), requests);
         policyActions = new PolicyActionExecutor(loop, policy, requests, attemptHandler, backends);
@@ -56,11 +56,15 @@
         memory.onAvailable(clients::resumeReading);
 
         cordons = new CordonStore(loop, policy, config.stateDirectory(), config.name());
-        admin = new AdminServer(loop, new NodeAdminOperations(state, metrics, requests, policy, cordons));
+        admin = new AdminServer(
+                loop,
+                new NodeAdminOperations(state, metrics, new MemoryMetrics(directMemory), requests, policy, cordons));
         ProcessHandover handover = new ProcessHandover(config.stateDirectory(), config.name());
-        shutdown = new GracefulShutdown(loop, config.settings(), handover, clients, requests, guard, state, telemetry);
+        shutdown = new GracefulShutdown(
+                loop, config.settings(), handover, directMemory, clients, requests, guard, state, telemetry);
+        HandoverLimits handoverLimits = new HandoverLimits(descriptors, directMemory, clients);
         startup = new NodeStartup(
-                config, loop, descriptors, policy, backends, clients, cordons, handover, state, shutdown.ended());
+                config, loop, handoverLimits, policy, backends, clients, cordons, handover, state, shutdown.ended());
     }
 
     /** As {@link #start(double)}, if the process has done nothing before. */
--- a/src/main/java/quotagateway/node/GracefulShutdown.java
+++ b/src/main/java/quotagateway/node/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import quotagateway.client.ClientListener;
 import quotagateway.log.NodeEvent;
 import quotagateway.policy.api.PolicySettings;
+import quotagateway.transport.DirectMemory;
 import quotagateway.transport.EventLoopContext;
 
 /**
@@ -30,6 +31,7 @@
     private final EventLoopContext loop;
     private final PolicySettings settings;
     private final ProcessHandover handover;
+    private final DirectMemory memory;
     private final ClientListener clients;
     private final RequestTable requests;
     private final LifecycleGuard guard;
@@ -43,6 +45,7 @@
             EventLoopContext loop,
             PolicySettings settings,
             ProcessHandover handover,
+            DirectMemory memory,
             ClientListener clients,
             RequestTable requests,
             LifecycleGuard guard,
@@ -51,6 +54,7 @@
         this.loop = loop;
         this.settings = settings;
         this.handover = handover;
+        this.memory = memory;
         this.clients = clients;
         this.requests = requests;
         this.guard = guard;
@@ -83,6 +87,7 @@
 
     /** Leaves new connections to the other process; open connections are closed after their next response. */
     private void drainWithSuccessor() {
+        memory.setProcessCount(ProcessHandover.PROCESSES_DURING_HANDOVER);
         startDraining(CLOSE_IDLE_AFTER_MS);
         clients.stopListening();
         clients.closeAfterResponses();
--- a/src/main/java/quotagateway/node/MemoryBudget.java
+++ b/src/main/java/quotagateway/node/MemoryBudget.java
@@ -1,36 +1,51 @@
 package quotagateway.node;
 
+import quotagateway.transport.DirectMemory;
+import quotagateway.transport.EventLoopContext;
+
 /**
- * The memory that the values of all requests take together. While the budget is exhausted, the node stops reading from
- * clients, so that the kernel, and then the clients themselves, hold the data that is still to be sent.
+ * Decides by the memory that all buffers hold whether clients may be read. At its limit for requests, values that have
+ * not arrived completely are dropped and their requests rejected. At its limit for responses, which only short commands
+ * can reach, no client is read, so that the kernel, and then the clients themselves, hold what is still to be sent.
  */
 final class MemoryBudget {
-    /** How much the values of all requests may take (bytes) before the node stops reading from clients. */
-    private static final long MAX_BUFFERED_BYTES = 8L << 20;
+    /** Interval (ms) between checks for memory while no client is read. */
+    private static final double CHECK_INTERVAL_MS = 10;
 
-    private long bufferedBytes;
+    private final EventLoopContext loop;
+    private final DirectMemory memory;
     private Runnable onAvailable = () -> {};
+    private boolean checkScheduled;
+
+    MemoryBudget(EventLoopContext loop, DirectMemory memory) {
+        this.loop = loop;
+        this.memory = memory;
+    }
 
     /** Sets the action that runs each time the budget stops being exhausted. */
     void onAvailable(Runnable action) {
         onAvailable = action;
     }
 
+    /** Returns whether no client may be read; if so, the end of that is reported. */
     boolean isExhausted() {
-        return bufferedBytes > MAX_BUFFERED_BYTES;
-    }
-
-    /** Reserves the memory of a request. A reservation always succeeds, as the bytes have been read already. */
-    void reserve(int bytes) {
-        bufferedBytes += bytes;
+        boolean exhausted = !memory.hasRoomForResponse(0);
+        if (exhausted && !checkScheduled) {
+            checkScheduled = true;
+            loop.schedule(CHECK_INTERVAL_MS, this::check);
+        }
+        return exhausted;
     }
 
-    /** Returns the memory of a request that has released its buffers. */
-    void release(int bytes) {
-        boolean wasExhausted = isExhausted();
-        bufferedBytes -= bytes;
-        if (wasExhausted && !isExhausted()) {
+    private void check() {
+        checkScheduled = false;
+        if (!isExhausted()) {
             onAvailable.run();
         }
     }
+
+    /** Returns whether so many more bytes of a request may be held. */
+    boolean hasRoomForRequest(int bytes) {
+        return memory.hasRoomForRequest(bytes);
+    }
 }
--- a/src/main/java/quotagateway/node/NodeAdminOperations.java
+++ b/src/main/java/quotagateway/node/NodeAdminOperations.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import quotagateway.admin.AdminOperations;
 import quotagateway.admin.CordonResult;
+import quotagateway.admin.MemoryMetrics;
 import quotagateway.admin.Metrics;
 
 /**
@@ -12,14 +13,21 @@
 final class NodeAdminOperations implements AdminOperations {
     private final NodeStateMachine state;
     private final Metrics metrics;
+    private final MemoryMetrics memoryMetrics;
     private final RequestTable requests;
     private final PolicyInvoker policy;
     private final CordonStore cordons;
 
     NodeAdminOperations(
-            NodeStateMachine state, Metrics metrics, RequestTable requests, PolicyInvoker policy, CordonStore cordons) {
+            NodeStateMachine state,
+            Metrics metrics,
+            MemoryMetrics memoryMetrics,
+            RequestTable requests,
+            PolicyInvoker policy,
+            CordonStore cordons) {
         this.state = state;
         this.metrics = metrics;
+        this.memoryMetrics = memoryMetrics;
         this.requests = requests;
         this.policy = policy;
         this.cordons = cordons;
@@ -32,7 +40,8 @@
 
     @Override
     public String metricsText() {
-        return metrics.render(requests.openCount(), policy.endpointCount(), policy.unavailableEndpointCount());
+        return metrics.render(requests.openCount(), policy.endpointCount(), policy.unavailableEndpointCount())
+                + memoryMetrics.render();
     }
 
     /** {@inheritDoc} Before the policy exists, no endpoint is known and nothing is stored. */
--- a/src/main/java/quotagateway/node/NodeStartup.java
+++ b/src/main/java/quotagateway/node/NodeStartup.java
@@ -30,7 +30,7 @@
 
     private final GatewayConfig config;
     private final NodeEventLoop loop;
-    private final DescriptorBudget descriptors;
+    private final HandoverLimits handoverLimits;
     private final PolicyInvoker policy;
     private final BackendClients backends;
     private final ClientListener clients;
@@ -44,7 +44,7 @@
     NodeStartup(
             GatewayConfig config,
             NodeEventLoop loop,
-            DescriptorBudget descriptors,
+            HandoverLimits handoverLimits,
             PolicyInvoker policy,
             BackendClients backends,
             ClientListener clients,
@@ -54,7 +54,7 @@
             CompletableFuture<Void> ended) {
         this.config = config;
         this.loop = loop;
-        this.descriptors = descriptors;
+        this.handoverLimits = handoverLimits;
         this.policy = policy;
         this.backends = backends;
         this.clients = clients;
@@ -114,10 +114,10 @@
     /** Listens, unless the node has been told to shut down. */
     private void listen() throws IOException {
         if (handover.hasPredecessor()) {
-            clients.limitConnections(descriptors.clientConnectionsDuringHandover());
+            handoverLimits.apply();
             loop.schedule(
                     ShutdownDeadline.earliestKillMs(config.settings()) + PREDECESSOR_EXIT_MARGIN_MS,
-                    () -> clients.limitConnections(descriptors.clientConnections()));
+                    handoverLimits::lift);
         }
         try {
             SocketAddress bound = ended.isDone() ? null : clients.bind(loop.group(), config.listenAddress());
--- a/src/main/java/quotagateway/node/ProcessHandover.java
+++ b/src/main/java/quotagateway/node/ProcessHandover.java
@@ -14,6 +14,9 @@
  * and are not called on the event loop.
  */
 final class ProcessHandover {
+    /** Number of processes that share the limits of a gateway while a new version replaces the old one. */
+    static final int PROCESSES_DURING_HANDOVER = 2;
+
     private final Path file;
     /**
      * Identifies this process. The time distinguishes nodes in one process, and processes that get the same id one
--- a/src/main/java/quotagateway/node/RequestTable.java
+++ b/src/main/java/quotagateway/node/RequestTable.java
@@ -36,7 +36,6 @@
     private final NodeTelemetry telemetry;
     private final PolicyInvoker policy;
     private final EndpointPool endpoints;
-    private final MemoryBudget memory;
     private final LongObjectHashMap<ActiveRequest> requestsById = new LongObjectHashMap<>();
     private final Set<String> clientIds = new HashSet<>();
     private long lastId;
@@ -52,14 +51,12 @@
             LifecycleGuard guard,
             NodeTelemetry telemetry,
             PolicyInvoker policy,
-            EndpointPool endpoints,
-            MemoryBudget memory) {
+            EndpointPool endpoints) {
         this.loop = loop;
         this.guard = guard;
         this.telemetry = telemetry;
         this.policy = policy;
         this.endpoints = endpoints;
-        this.memory = memory;
     }
 
     // ---- contents ----
@@ -73,7 +70,6 @@
     void add(ActiveRequest request) {
         requestsById.put(request.id(), request);
         clientIds.add(request.clientId());
-        memory.reserve(request.bufferedBytes());
         openCount++;
         request.attachToSlot();
         request.deadline().start(() -> onDeadlinePassed(request));
@@ -234,7 +230,6 @@
         if (request.isFinished() && requestsById.remove(request.id()) != null) {
             request.release();
             clientIds.remove(request.clientId());
-            memory.release(request.bufferedBytes());
         }
     }
 }
--- a/src/main/java/quotagateway/policy/api/FailureReason.java
+++ b/src/main/java/quotagateway/policy/api/FailureReason.java
@@ -21,5 +21,7 @@
     /** The data that followed the request on its connection could not be parsed. */
     CONNECTION_MALFORMED,
     /** The request arrived after the time by which a process that shuts down must have responded to all requests. */
-    SHUTDOWN
+    SHUTDOWN,
+    /** The request's value was dropped as it arrived, as there was no memory for it. */
+    MEMORY_SHORT
 }
--- a/src/main/java/quotagateway/resp/RespCodec.java
+++ b/src/main/java/quotagateway/resp/RespCodec.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
-import io.netty.handler.codec.redis.RedisBulkStringAggregator;
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -36,21 +35,25 @@
      * @return the tracker of bytes that belong to no complete message yet; the receiver reports each message to it
      */
     public static RespFrameTracker addHandlers(ChannelPipeline pipeline, int maxElements) {
-        return addHandlers(pipeline, maxElements, null);
+        return addHandlers(pipeline, maxElements, ValueMemory.UNLIMITED, null);
     }
 
     /**
-     * Like {@link #addHandlers(ChannelPipeline, int)}, except that one element of an array may be too large to be
-     * buffered: its parts go to a handler as they arrive, and the message has an empty value in its place.
+     * Like {@link #addHandlers(ChannelPipeline, int)}, except that a value is dropped if there is no memory for it (see
+     * {@link DiscardedValue}), and that one element of an array may be too large to be buffered: its parts go to a
+     * handler as they arrive, and the message has an empty value in its place.
+     *
+     * @param memory for the values that arrive in several reads
+     * @param largeValues the handler, or null if no value may be too large to be buffered
      */
     public static RespFrameTracker addHandlers(
-            ChannelPipeline pipeline, int maxElements, LargeValueHandler largeValues) {
+            ChannelPipeline pipeline, int maxElements, ValueMemory memory, LargeValueHandler largeValues) {
         RespFrameTracker frameTracker = new RespFrameTracker();
         pipeline.addLast(
                 frameTracker,
                 new RedisDecoder(MAX_LINE_BYTES, FixedRedisMessagePool.INSTANCE),
                 new ValueSizeLimiter(frameTracker, largeValues),
-                new RedisBulkStringAggregator(),
+                new BulkStringAssembler(frameTracker, memory),
                 new RedisArrayAggregator(maxElements, MAX_ARRAY_DEPTH),
                 new RedisEncoder());
         return frameTracker;
--- a/src/main/java/quotagateway/resp/RespLength.java
+++ b/src/main/java/quotagateway/resp/RespLength.java
@@ -22,6 +22,9 @@
         if (message instanceof ArrayRedisMessage array) {
             return ofArray(array);
         }
+        if (message instanceof DiscardedValue discarded) {
+            return ofBulkString(discarded.length());
+        }
         if (message instanceof FullBulkStringRedisMessage bulk) {
             return bulk.isNull() ? NULL_BYTES : ofBulkString(bulk.content().readableBytes());
         }
--- a/src/main/java/quotagateway/streaming/RequestBody.java
+++ b/src/main/java/quotagateway/streaming/RequestBody.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import quotagateway.resp.RespCodec;
 
 /**
@@ -27,10 +26,11 @@
     private final int length;
     private final double startedAtMs;
     private final Runnable onReadingChanged;
-    private final ArrayDeque<ByteBuf> buffer = new ArrayDeque<>();
+    /** The first part of the body until an attempt takes it, in one buffer of about its size; null for none. */
+    private ByteBuf buffer;
+
     private State state = State.BUFFERING;
     private int receivedBytes;
-    private int bufferedBytes;
     private RequestBodySink sink;
     private boolean sinkWritable = true;
 
@@ -57,8 +57,7 @@
         receivedBytes += part.readableBytes();
         switch (state) {
             case BUFFERING -> {
-                bufferedBytes += part.readableBytes();
-                buffer.add(part);
+                buffer(part);
                 onReadingChanged.run();
             }
             case FORWARDING -> {
@@ -69,6 +68,21 @@
         }
     }
 
+    private void buffer(ByteBuf part) {
+        try {
+            if (buffer == null) {
+                buffer = part.alloc().buffer(part.readableBytes());
+            }
+            buffer.writeBytes(part);
+        } finally {
+            part.release();
+        }
+    }
+
+    private int bufferedBytes() {
+        return buffer == null ? 0 : buffer.readableBytes();
+    }
+
     /** Returns whether the last byte has arrived from the client. */
     public boolean isComplete() {
         return receivedBytes == length;
@@ -76,13 +90,13 @@
 
     /** Returns whether enough has arrived to choose an endpoint. */
     public boolean isReadyToForward() {
-        return bufferedBytes >= MAX_BUFFERED_BYTES || isComplete();
+        return bufferedBytes() >= MAX_BUFFERED_BYTES || isComplete();
     }
 
     /** Returns whether more should be read from the client now. */
     public boolean wantsMore() {
         return switch (state) {
-            case BUFFERING -> bufferedBytes < MAX_BUFFERED_BYTES;
+            case BUFFERING -> bufferedBytes() < MAX_BUFFERED_BYTES;
             case FORWARDING -> sinkWritable;
             case DISCARDING -> true;
         };
@@ -98,15 +112,16 @@
         return state != State.BUFFERING;
     }
 
-    /** Writes the buffered parts to an endpoint, and later parts as they arrive. */
+    /** Writes the buffered part to an endpoint, and later parts as they arrive. */
     public void forwardTo(RequestBodySink endpoint) {
         if (state != State.DISCARDING) {
             state = State.FORWARDING;
             sink = endpoint;
         }
-        while (!buffer.isEmpty()) {
-            ByteBuf part = buffer.poll();
-            sinkWritable = sink.write(part, isComplete() && buffer.isEmpty());
+        if (buffer != null) {
+            ByteBuf firstPart = buffer;
+            buffer = null;
+            sinkWritable = sink.write(firstPart, isComplete());
         }
         onReadingChanged.run();
     }
@@ -117,13 +132,13 @@
         onReadingChanged.run();
     }
 
-    /** Drops the buffered parts and all later ones, which are still read, as the client's next command follows them. */
+    /** Drops the buffered part and all later ones, which are still read, as the client's next command follows them. */
     public void discard() {
         if (state != State.DISCARDING) {
             state = State.DISCARDING;
             sink = null;
-            buffer.forEach(ReferenceCountUtil::release);
-            buffer.clear();
+            ReferenceCountUtil.release(buffer);
+            buffer = null;
             onReadingChanged.run();
         }
     }
--- a/src/main/java/quotagateway/transport/SocketConnector.java
+++ b/src/main/java/quotagateway/transport/SocketConnector.java
@@ -29,6 +29,7 @@
         bootstrap = new Bootstrap()
                 .group(group)
                 .channelFactory(channels)
+                .option(ChannelOption.ALLOCATOR, DirectMemory.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs);
     }
 
--- a/src/main/java/quotagateway/transport/Transport.java
+++ b/src/main/java/quotagateway/transport/Transport.java
@@ -1,6 +1,5 @@
 package quotagateway.transport;
 
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.channel.unix.UnixChannelOption;
 import java.net.StandardSocketOptions;
+import java.util.function.BooleanSupplier;
 
 /**
  * The kind of sockets that the node uses: native epoll, measured to take a fifth less CPU than NIO, or NIO where the
@@ -52,9 +52,11 @@
     /**
      * An allocator for reads that go on behind the last bytes, and so see an end of the connection that came with
      * them; without it only epoll would.
+     *
+     * @param memoryShort whether as little as possible should be read now
      */
-    public static RecvByteBufAllocator newReadToEndAllocator() {
-        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+    public static RecvByteBufAllocator newReadToEndAllocator(BooleanSupplier memoryShort) {
+        BoundedReceiveAllocator allocator = new BoundedReceiveAllocator(memoryShort);
         allocator.maxMessagesPerRead(MAX_READS_PER_ROUND);
         return allocator.respectMaybeMoreData(epoll);
     }
--- a/src/main/java/quotagateway/upstream/EndpointConnection.java
+++ b/src/main/java/quotagateway/upstream/EndpointConnection.java
@@ -19,11 +19,13 @@
 import quotagateway.resp.LargeValueHandler;
 import quotagateway.resp.RespCodec;
 import quotagateway.resp.RespFrameTracker;
+import quotagateway.resp.ValueMemory;
 import quotagateway.streaming.RequestBody;
 import quotagateway.streaming.RequestBodySink;
 import quotagateway.streaming.ResponseSource;
 import quotagateway.streaming.StreamedResponse;
 import quotagateway.transport.EventLoopContext;
+import quotagateway.transport.ReceivedBufferCompactor;
 
 /**
  * One connection to an endpoint, with one attempt or health check in flight at a time. It is used again only after a
@@ -39,6 +41,7 @@
     private final PooledEndpoint endpoint;
     private final EventLoopContext loop;
     private final ConnectionUsage usage;
+    private final ValueMemory responseMemory;
     private Channel channel;
     private RespFrameTracker frames;
     /** What is in flight, or null. */
@@ -52,17 +55,24 @@
 
     private CloseReason closeReason = CloseReason.CLOSED_BY_PEER;
 
-    EndpointConnection(EndpointPool pool, PooledEndpoint endpoint, EventLoopContext loop, ConnectionUsage usage) {
+    EndpointConnection(
+            EndpointPool pool,
+            PooledEndpoint endpoint,
+            EventLoopContext loop,
+            ConnectionUsage usage,
+            ValueMemory responseMemory) {
         this.pool = pool;
         this.endpoint = endpoint;
         this.loop = loop;
         this.usage = usage;
+        this.responseMemory = responseMemory;
     }
 
     /** Adds its handlers to the channel that is to be connected; called once. */
     void addTo(Channel newChannel) {
         channel = newChannel;
-        frames = RespCodec.addHandlers(channel.pipeline(), MAX_REPLY_ELEMENTS, this);
+        channel.pipeline().addLast(ReceivedBufferCompactor.INSTANCE);
+        frames = RespCodec.addHandlers(channel.pipeline(), MAX_REPLY_ELEMENTS, responseMemory, this);
         channel.pipeline().addLast(this);
     }
 
--- a/src/main/java/quotagateway/upstream/EndpointPool.java
+++ b/src/main/java/quotagateway/upstream/EndpointPool.java
@@ -11,6 +11,7 @@
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.EndpointDescriptor;
 import quotagateway.policy.api.EndpointState;
+import quotagateway.resp.ValueMemory;
 import quotagateway.transport.EventLoopContext;
 
 /**
@@ -44,6 +45,7 @@
     private final IdleTimeoutEstimator idleTimeout = new IdleTimeoutEstimator();
     private final double keepAliveMs;
     private final int maxConnections;
+    private final ValueMemory responseMemory;
     private final Map<String, PooledEndpoint> endpoints = new HashMap<>();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     /** Connections that are open or being opened. */
@@ -53,19 +55,26 @@
 
     private boolean policyNotified;
 
-    /** The last is how many connections there may be, to all endpoints together. */
+    /**
+     * Creates a pool without endpoints.
+     *
+     * @param maxConnections how many connections there may be, to all endpoints together
+     * @param responseMemory for responses that arrive in several reads
+     */
     public EndpointPool(
             EventLoopContext loop,
             EndpointPoolListener listener,
             EventLoopGroup group,
             GatewayConfig config,
-            int maxConnections) {
+            int maxConnections,
+            ValueMemory responseMemory) {
         this(
                 loop,
                 listener,
                 new SocketEndpointConnector(group, (int) config.connectTimeoutMs()),
                 config,
-                maxConnections);
+                maxConnections,
+                responseMemory);
     }
 
     EndpointPool(
@@ -73,10 +82,12 @@
             EndpointPoolListener listener,
             EndpointConnector connector,
             GatewayConfig config,
-            int maxConnections) {
+            int maxConnections,
+            ValueMemory responseMemory) {
         this.loop = loop;
         this.listener = listener;
         this.maxConnections = maxConnections;
+        this.responseMemory = responseMemory;
         keepAliveMs = config.keepAliveMs();
         this.connector = connector;
         replies = new EndpointReplyParser(
@@ -284,7 +295,8 @@
         if (connectionCount >= maxConnections && !endpoint.hasWaiting()) {
             return;
         }
-        EndpointConnection connection = new EndpointConnection(this, endpoint, loop, new ConnectionUsage(idleTimeout));
+        EndpointConnection connection =
+                new EndpointConnection(this, endpoint, loop, new ConnectionUsage(idleTimeout), responseMemory);
         endpoint.onConnecting();
         connectionCount++;
         connector.connect(endpoint.address(), connection).addListener(connected -> {
--- a/src/main/java/quotagateway/upstream/EndpointReplyParser.java
+++ b/src/main/java/quotagateway/upstream/EndpointReplyParser.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import java.util.List;
 import quotagateway.policy.api.CallOutcome;
+import quotagateway.resp.DiscardedValue;
 import quotagateway.resp.RespCodec;
 import quotagateway.transport.EventLoopContext;
 
@@ -34,6 +35,10 @@
                 && array.children().size() == RESPONSE_PARTS
                 && RespCodec.isNonNullBulkString(array.children().get(VALUE_INDEX))) {
             List<RedisMessage> parts = array.children();
+            if (parts.get(VALUE_INDEX) instanceof DiscardedValue) {
+                loop.logFailure("endpoint", new IllegalStateException("no memory for the value of a response"));
+                return EndpointReply.of(CallOutcome.ERROR);
+            }
             double[] load = loadReports.parse(RespCodec.text(parts.get(LOAD_INDEX)));
             return new EndpointReply(CallOutcome.OK, parts.get(VALUE_INDEX), load);
         }
--- a/src/test/java/quotagateway/client/ClientConnectionFixture.java
+++ b/src/test/java/quotagateway/client/ClientConnectionFixture.java
@@ -49,6 +49,9 @@
     String errorText;
 
     boolean memoryExhausted;
+    /** Whether a value of a request that arrives in several reads may be held. */
+    boolean hasRoomForRequests = true;
+
     private final ListenerContext context;
     private long connectionCount;
 
@@ -81,6 +84,11 @@
         return memoryExhausted;
     }
 
+    @Override
+    public boolean hasRoomForRequest(int bytes) {
+        return hasRoomForRequests;
+    }
+
     @Override
     public boolean mayListen() {
         return true;
--- a/src/test/java/quotagateway/client/ClientConnectionTest.java
+++ b/src/test/java/quotagateway/client/ClientConnectionTest.java
@@ -54,6 +54,16 @@
         assertEquals(List.of(CloseReason.MALFORMED), clients.closed);
     }
 
+    /** A large body is dropped as it arrives, and its command is submitted without it, to be rejected. */
+    @Test
+    void largeBodyWithoutMemoryIsDropped() {
+        clients.hasRoomForRequests = false;
+        channel.receive(LARGE_REQUEST + "x".repeat(1000));
+        assertTrue(clients.requests.get(0).body.isConsumed());
+        channel.receive("x".repeat(LARGE_BODY_BYTES - 1000) + "\r\n" + ClientConnectionFixture.REQUEST);
+        assertEquals(2, clients.requests.size());
+    }
+
     @Test
     void commandsAreHeldBackWhileMemoryIsExhausted() {
         clients.memoryExhausted = true;
--- a/src/test/java/quotagateway/node/ClientDisconnectTest.java
+++ b/src/test/java/quotagateway/node/ClientDisconnectTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -111,17 +112,21 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void disconnectIsDetectedWhileMemoryIsExhausted(boolean epoll) throws Exception {
+        memoryMb = 3; // of which half a megabyte is for buffers
         start(epoll);
-        Peer.Connection largeClient = connectClient();
-        String body = "x".repeat(64 * 1024);
-        int bodies = 128; // 64 KB and a header each: more than the memory budget of 8 MB
+        List<Peer.Connection> otherClients = new ArrayList<>();
+        String body = "x".repeat(4096); // the longest value that is kept however short memory is
+        int bodies = 120; // together more than three quarters of the memory for buffers
         for (int i = 1; i <= bodies; i++) {
-            largeClient.sendCommand(
-                    "CALL.POST",
-                    CUSTOMER,
-                    "b" + i,
-                    "c=hold,t=p,d=" + UNREACHED_TIMEOUT_MS + ",units=2,spread=3,first=1",
-                    body);
+            otherClients.add(connectClient());
+            otherClients
+                    .get(i - 1)
+                    .sendCommand(
+                            "CALL.POST",
+                            CUSTOMER,
+                            "b" + i,
+                            "c=hold,t=p,d=" + UNREACHED_TIMEOUT_MS + ",units=2,spread=3,first=1",
+                            body);
             expectRequest(i, "hold");
         }
         Peer.Connection client = connectClient();
@@ -131,8 +136,10 @@
         client.socket.shutdownOutput(); // a half-close counts as a disconnect
         expectEvent("gone " + (bodies + 1));
         assertTrue(client.awaitEnd());
-        largeClient.socket.setSoLinger(true, 0); // a reset
-        largeClient.close();
+        for (Peer.Connection otherClient : otherClients) {
+            otherClient.socket.setSoLinger(true, 0); // a reset
+            otherClient.close();
+        }
         expectDisconnects(1, bodies);
     }
 
--- a/src/test/java/quotagateway/node/DescriptorLimitTest.java
+++ b/src/test/java/quotagateway/node/DescriptorLimitTest.java
@@ -4,131 +4,25 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** A node in a separate process whose file descriptors the operating system limits. */
-@Timeout(60)
-class DescriptorLimitTest {
+class DescriptorLimitTest extends NodeProcessFixture {
     private static final int DESCRIPTOR_LIMIT = 128;
     /** Number of connections to the counter. */
     private static final int COUNTER_CONNECTIONS = 4;
 
-    private static final String COMMAND_LIST = "c=read,t=p,d=2000,units=1,spread=1,first=0";
-
-    @TempDir
-    Path folder;
-
-    private final Peer discovery;
-    private final Peer counter;
-    private final Peer endpoint;
     private final Peer otherEndpoint;
-    private int port;
-    private Path log;
-    private final List<AutoCloseable> closeables = new ArrayList<>();
 
     DescriptorLimitTest() throws IOException {
-        discovery = new Peer();
-        counter = new Peer();
-        endpoint = new Peer();
         otherEndpoint = new Peer();
-    }
-
-    private String configJson(int configuredSockets) {
-        return """
-            {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
-             "limits":{"sockets":%d},"counter":"%s","known":%s,
-             "settings":{"rank":0,"group_size":1,"tick":1,"feedback":{"fields":["utilization","outstanding"]},
-              "family_info":{"shared_counter":false,"count_limit":80,"most_units":2},
-              "limits":{"send_cap":2,"keepalive":15000,"connect_timeout":250},
-              "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
-              "tariffs":[{"name":"p","per_second":80,"depth":80}]}}""".formatted(
-                        port,
-                        discovery.address(),
-                        configuredSockets,
-                        counter.address(),
-                        NodeFixture.list(41, true, NodeFixture.entry("s0", endpoint.address(), "active")));
-    }
-
-    private static void answerWatch(Peer.Connection connection, String list) throws Exception {
-        while (!connection.readLine().isEmpty()) {
-            assertTrue(connection.socket.isConnected());
-        }
-        connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-                + Integer.toHexString(list.length() + 1) + "\r\n" + list + "\n\r\n");
-    }
-
-    private static void runInBackground(Callable<?> task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.call();
-            } catch (Exception | AssertionError closed) {
-                // the test has ended, or the node has closed the connection
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    /** Answers each request on every accepted connection. */
-    private static void respondOnAll(Peer endpoint, CountDownLatch connected) {
-        runInBackground(() -> {
-            while (true) {
-                Peer.Connection connection = endpoint.awaitConnection();
-                connected.countDown();
-                runInBackground(() -> {
-                    while (connection.readMessage() != null) {
-                        connection.sendValue("served");
-                    }
-                    return null;
-                });
-            }
-        });
-    }
-
-    private Peer.Connection connectClient() throws Exception {
-        Peer.Connection connection = Peer.Connection.connect(port);
-        closeables.add(connection);
-        return connection;
-    }
-
-    private Process startNode(int configuredSockets) throws Exception {
-        try (ServerSocket freePortSocket = new ServerSocket(0)) {
-            port = freePortSocket.getLocalPort();
-        }
-        log = folder.resolve("log");
-        closeables.addAll(List.of(discovery, counter, endpoint, otherEndpoint));
-        Path file = Files.writeString(folder.resolve("config"), configJson(configuredSockets));
-        String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-                .filter(p -> !p.matches(".*(junit|opentest4j|apiguardian|test-classes).*"))
-                .collect(Collectors.joining(File.pathSeparator)); // each class path entry uses a descriptor
-        ProcessBuilder builder = new ProcessBuilder(
-                "/bin/sh",
-                "-c",
-                "ulimit -n " + DESCRIPTOR_LIMIT + " && exec '"
-                        + ProcessHandle.current().info().command().orElseThrow() + "' -cp '" + path
-                        + "' quotagateway.Main serve");
-        builder.environment().put("EDGE_CONFIG", file.toString());
-        builder.environment()
-                .put("TMPDIR", Files.createDirectory(folder.resolve("tmp")).toString());
-        Process node =
-                builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-        closeables.add(node::destroyForcibly);
-        return node;
+        closeables.add(otherEndpoint);
     }
 
     private void connectIdleClients() throws Exception {
@@ -153,7 +47,7 @@
     /** Clients use up their descriptors while discovery and the counter are down: the node must reconnect to both. */
     @Test
     void idleClientsLeaveDescriptorsForTheNodeItself() throws Exception {
-        Process node = startNode(DESCRIPTOR_LIMIT);
+        Process node = startNode(DESCRIPTOR_LIMIT, DESCRIPTOR_LIMIT);
         try {
             Peer.Connection watch = discovery.awaitConnection();
             answerWatch(watch, "");
@@ -192,7 +86,7 @@
     /** The configuration allows more descriptors than the system: exhaustion must not terminate the event loop. */
     @Test
     void nodeRecoversOnceDescriptorsAreFreeAgain() throws Exception {
-        Process node = startNode(1024);
+        Process node = startNode(DESCRIPTOR_LIMIT, 1024);
         try {
             respondOnAll(endpoint, new CountDownLatch(1));
             answerWatch(discovery.awaitConnection(), "");
@@ -215,17 +109,4 @@
             throw new AssertionError(Files.readString(log), e);
         }
     }
-
-    private void awaitBind() throws Exception {
-        while (!Files.readString(log).contains("bind")) {
-            Thread.sleep(20);
-        }
-    }
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable resource : closeables) {
-            resource.close();
-        }
-    }
 }
--- a/src/test/java/quotagateway/node/ListenerLifecycleTest.java
+++ b/src/test/java/quotagateway/node/ListenerLifecycleTest.java
@@ -67,6 +67,11 @@
             return false;
         }
 
+        @Override
+        public boolean hasRoomForRequest(int bytes) {
+            return true;
+        }
+
         @Override
         public boolean mayListen() {
             return true;
--- a/src/test/java/quotagateway/node/MetricsTest.java
+++ b/src/test/java/quotagateway/node/MetricsTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import quotagateway.admin.MemoryMetrics;
 import quotagateway.admin.Metrics;
 import quotagateway.lifecycle.CloseReason;
 import quotagateway.lifecycle.RequestOutcome;
@@ -16,6 +17,7 @@
 import quotagateway.policy.api.Idempotency;
 import quotagateway.policy.api.RequestClass;
 import quotagateway.policy.api.RetryScope;
+import quotagateway.transport.DirectMemory;
 
 /** The metrics as a scrape returns them. */
 class MetricsTest extends NodeFixture {
@@ -69,6 +71,20 @@
                         .sum());
     }
 
+    @Test
+    void directMemoryIsReportedAgainstItsLimit() {
+        DirectMemory memory = new DirectMemory(() -> 1, () -> 2, 3);
+        assertEquals(
+                Map.of(
+                        "direct_memory_in_use_bytes",
+                        1L,
+                        "direct_memory_reserved_bytes",
+                        2L,
+                        "direct_memory_limit_bytes",
+                        3L),
+                samples(new MemoryMetrics(memory).render()));
+    }
+
     @Test
     void outcomesAreCountedOnceAndAttemptsWhenWritten() throws Exception {
         start();
--- a/src/test/java/quotagateway/node/NodeFixture.java
+++ b/src/test/java/quotagateway/node/NodeFixture.java
@@ -186,6 +186,7 @@
     // ---- for the configuration ----
 
     int maxSockets = 256;
+    int memoryMb = 192;
     /** The listen port; 0 selects a free port. */
     int listenPort;
 
@@ -248,7 +249,7 @@
         return """
             {"name":"n0","listen":"127.0.0.1:%d","control":"127.0.0.1:0","discovery":"%s",
              "seed":"8c1f30d27a5be964",
-             "limits":{"sockets":%d},"counter":"%s","known":%s,
+             "limits":{"sockets":%d,"memory_mb":%d},"counter":"%s","known":%s,
              "settings":{"rank":0,"group_size":4,"feedback":{"fields":["utilization","outstanding"]},
               "family_info":{"shared_counter":true,"count_limit":80,"most_units":2},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
@@ -259,6 +260,7 @@
                         listenPort,
                         discoveryPeer.address(),
                         maxSockets,
+                        memoryMb,
                         counterPeer.address(),
                         list(41, true, entry("s0", endpointPeer.address(), "active")),
                         keepAliveMs);
--- a/src/test/java/quotagateway/resp/RespCodecTest.java
+++ b/src/test/java/quotagateway/resp/RespCodecTest.java
@@ -93,7 +93,8 @@
 
     @Test
     void largeValueGoesToItsHandlerAndIsEmptyInTheMessage() {
-        RespFrameTracker frameTracker = RespCodec.addHandlers(channel.pipeline(), MAX_ELEMENTS, new CountingHandler());
+        RespFrameTracker frameTracker =
+                RespCodec.addHandlers(channel.pipeline(), MAX_ELEMENTS, ValueMemory.UNLIMITED, new CountingHandler());
         int length = RespCodec.MAX_BUFFERED_VALUE_BYTES + 1;
         receive("*3\r\n" + bulk("CALL") + "$" + length + "\r\n" + "x".repeat(length - 1));
         assertEquals(List.of("started " + length), events);
@@ -117,7 +118,7 @@
                 "*3\r\n" + bulk("a") + bulk("b") + "$" + length + "\r\n",
                 "*2\r\n" + bulk("a") + "$" + (RespCodec.MAX_VALUE_BYTES + 1) + "\r\n")) {
             EmbeddedChannel fresh = new EmbeddedChannel();
-            RespCodec.addHandlers(fresh.pipeline(), MAX_ELEMENTS, new CountingHandler());
+            RespCodec.addHandlers(fresh.pipeline(), MAX_ELEMENTS, ValueMemory.UNLIMITED, new CountingHandler());
             assertThrows(
                     CodecException.class,
                     () -> fresh.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)));
@@ -139,6 +140,41 @@
         assertThrows(CodecException.class, () -> receive("*" + (MAX_ELEMENTS + 1) + "\r\n"));
     }
 
+    /** A value that there is no memory for is dropped, and what follows it on the connection is read as usual. */
+    @Test
+    void valueWithoutMemoryIsReplacedAndTheNextMessageIsComplete() {
+        RespFrameTracker frameTracker = RespCodec.addHandlers(channel.pipeline(), MAX_ELEMENTS, bytes -> false, null);
+        int length = RespCodec.MAX_BUFFERED_VALUE_BYTES;
+        receive("*2\r\n" + bulk("CALL") + "$" + length + "\r\n");
+        for (int i = 0; i < length; i += length / 4) {
+            receive("x".repeat(length / 4));
+        }
+        receive("\r\n" + bulk("next"));
+        ArrayRedisMessage message = channel.readInbound();
+        assertEquals("CALL", RespCodec.text(message.children().get(0)));
+        assertTrue(message.children().get(1) instanceof DiscardedValue);
+        frameTracker.onMessageComplete(message);
+        ReferenceCountUtil.release(message);
+        RedisMessage next = channel.readInbound();
+        assertEquals("next", RespCodec.text(next));
+        frameTracker.onMessageComplete(next);
+        assertEquals(0, frameTracker.pendingBytes());
+        ReferenceCountUtil.release(next);
+    }
+
+    /** A client that sends many long values in one command must not hold more than one that sends a valid command. */
+    @Test
+    void messageWithMoreThanOneLongValueIsRejected() {
+        EmbeddedChannel fresh = new EmbeddedChannel();
+        RespCodec.addHandlers(fresh.pipeline(), MAX_ELEMENTS);
+        String longest = bulk("x".repeat(RespCodec.MAX_BUFFERED_VALUE_BYTES));
+        fresh.writeInbound(Unpooled.copiedBuffer("*4\r\n" + longest + longest, StandardCharsets.US_ASCII));
+        assertThrows(
+                CodecException.class,
+                () -> fresh.writeInbound(Unpooled.copiedBuffer("$1\r\n", StandardCharsets.US_ASCII)));
+        fresh.close(); // not finish(), which throws for an incomplete array
+    }
+
     @Test
     void commandIsAnArrayOfBulkStrings() {
         RespCodec.addHandlers(channel.pipeline(), MAX_ELEMENTS);
--- a/src/test/java/quotagateway/upstream/EndpointPoolTest.java
+++ b/src/test/java/quotagateway/upstream/EndpointPoolTest.java
@@ -27,6 +27,22 @@
         assertTrue(pool.ready().isDone());
     }
 
+    /** A value that was dropped for want of memory must not be taken for an empty one. */
+    @Test
+    void replyWithoutMemoryForItsValueIsAnError() {
+        endpoints.hasRoomForResponses = false;
+        EndpointSide.Peer peer = endpoints.connected("s", 1);
+        endpoints.send("a", "s");
+        peer.received();
+        peer.reply("*3\r\n$50000\r\n" + "x".repeat(20_000));
+        peer.reply("x".repeat(30_000) + "\r\n$-1\r\n$-1\r\n");
+        assertEquals(List.of("a written", "a ERROR"), endpoints.takeEvents());
+        endpoints.loop.advance(100);
+        endpoints.send("b", "s");
+        peer.reply(OK);
+        assertEquals(List.of("b written", "b OK v [0.25, NaN]"), endpoints.takeEvents());
+    }
+
     @Test
     void attemptIsWrittenOnTheConnectionMadeAheadAndEndsWithItsReply() {
         EndpointSide.Peer peer = endpoints.connected("s", 1);
--- a/src/test/java/quotagateway/upstream/EndpointSide.java
+++ b/src/test/java/quotagateway/upstream/EndpointSide.java
@@ -120,8 +120,11 @@
     /** What requests and listener were told since the last look. */
     final List<String> events = new ArrayList<>();
 
+    /** Whether a response that arrives in several reads may be held. */
+    boolean hasRoomForResponses = true;
+
     EndpointSide(int maxConnections) {
-        pool = new EndpointPool(loop, this, this, config(), maxConnections);
+        pool = new EndpointPool(loop, this, this, config(), maxConnections, bytes -> hasRoomForResponses);
     }
 
     private static GatewayConfig config() {
