--- a/src/main/java/quotagateway/log/NodeEvent.java
+++ b/src/main/java/quotagateway/log/NodeEvent.java
@@ -1,6 +1,7 @@
 package quotagateway.log;
 
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import quotagateway.lifecycle.CloseReason;
 import quotagateway.lifecycle.Invariant;
 import quotagateway.lifecycle.NodeState;
@@ -145,6 +146,22 @@
         }
     }
 
+    /**
+     * The cordons that apply have changed, by an operator's call to this process or by what the shared file contains.
+     */
+    record CordonsChanged(Source source, Collection<String> endpoints) implements NodeEvent {
+        /** Where a change has come from. */
+        public enum Source {
+            OPERATOR,
+            FILE
+        }
+
+        @Override
+        public String text() {
+            return "cordons_changed source=" + source + " endpoints=" + String.join(",", endpoints);
+        }
+    }
+
     /** An attempt that the policy had decided on was not written. */
     record AttemptDenied(String request, int attempt, SendDenial denial) implements NodeEvent {
         @Override
--- a/src/main/java/quotagateway/node/GatewayNode.java
+++ b/src/main/java/quotagateway/node/GatewayNode.java
@@ -55,7 +55,7 @@
         ClientListener clients = new ClientListener(loop, acceptor, descriptors.clientConnections());
         memory.onAvailable(clients::resumeReading);
 
-        cordons = new CordonStore(loop, policy, config.stateDirectory(), config.name());
+        cordons = new CordonStore(loop, policy, telemetry::record, config.stateDirectory(), config.name());
         admin = new AdminServer(
                 loop,
                 new NodeAdminOperations(state, metrics, new MemoryMetrics(directMemory), requests, policy, cordons));
--- a/src/main/java/quotagateway/node/NodeAdminOperations.java
+++ b/src/main/java/quotagateway/node/NodeAdminOperations.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import quotagateway.admin.AdminOperations;
+import quotagateway.admin.CordonMetrics;
 import quotagateway.admin.CordonResult;
 import quotagateway.admin.MemoryMetrics;
 import quotagateway.admin.Metrics;
@@ -41,7 +42,8 @@
     @Override
     public String metricsText() {
         return metrics.render(requests.openCount(), policy.endpointCount(), policy.unavailableEndpointCount())
-                + memoryMetrics.render();
+                + memoryMetrics.render()
+                + CordonMetrics.render(cordons.count());
     }
 
     /** {@inheritDoc} Before the policy exists, no endpoint is known and nothing is stored. */
--- a/src/main/java/quotagateway/node/NodeStartup.java
+++ b/src/main/java/quotagateway/node/NodeStartup.java
@@ -91,8 +91,7 @@
 
     /** Applies the stored cordons first, as no attempt may go to a cordoned endpoint. */
     private void startComponents(Set<String> cordoned) {
-        policy.replaceCordons(cordoned);
-        cordons.startPolling();
+        cordons.start(cordoned);
         backends.start(loop, config);
         clients.start();
         StartupTimeline.phaseEnded("loop and policy");
--- a/src/main/java/quotagateway/node/PolicyInvoker.java
+++ b/src/main/java/quotagateway/node/PolicyInvoker.java
@@ -13,7 +13,7 @@
  * Holds the policy and delivers events to it. An exception in the policy is logged and never reaches the event loop: it
  * loses the event, not the connection that the event came from. All methods are called on the event loop.
  */
-final class PolicyInvoker {
+final class PolicyInvoker implements CordonTarget {
     private final EventLoopContext loop;
     private PolicyEvents policy;
 
@@ -54,13 +54,13 @@
         }
     }
 
-    /** Cordons an endpoint or removes its cordon; returns false if no list has ever named the endpoint. */
-    boolean setCordoned(String endpoint, boolean cordoned) {
+    @Override
+    public boolean setCordoned(String endpoint, boolean cordoned) {
         return query(p -> p.setCordoned(loop.now(), endpoint, cordoned), false);
     }
 
-    /** Cordons these endpoints and no others. */
-    void replaceCordons(Set<String> endpoints) {
+    @Override
+    public void replaceCordons(Set<String> endpoints) {
         deliver(p -> p.replaceCordons(loop.now(), endpoints));
     }
 
--- a/src/test/java/quotagateway/node/CordonStoreTest.java
+++ b/src/test/java/quotagateway/node/CordonStoreTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Admin calls that cordon endpoints, and the storage of the cordons. */
@@ -80,6 +81,23 @@
         assertEquals(Set.of("s0", "s5"), Set.copyOf(Files.readAllLines(cordonFile())));
     }
 
+    /** Guards against the loss of another process's cordon that is written just before a call to this process. */
+    @Test
+    void cordonOfAnotherProcessRightBeforeAnOwnCallApplies() throws Exception {
+        recordDiscoveryFailures = false;
+        start();
+        Path replacement = stateFolder.resolve("next");
+        Files.writeString(replacement, "s5\n");
+        Files.move(replacement, cordonFile(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+        assertEquals("200", callAdmin(node, "POST", "/admin/cordon/s0").get(0));
+        String event = policyEvents.poll(5, TimeUnit.SECONDS);
+        while (event != null && !event.equals("cordons [s0, s5]")) {
+            event = policyEvents.poll(5, TimeUnit.SECONDS);
+        }
+        assertEquals("cordons [s0, s5]", event, "what the policy was told last");
+        assertTrue(callAdmin(node, "GET", "/admin/stats").get(1).contains("cordoned_endpoints 2\n"));
+    }
+
     /** A cordoned endpoint is usually about to restart, and requests would find its idle connections dead. */
     @Test
     void cordonedEndpointKeepsNoIdleConnections() throws Exception {
