Two classes no longer share the name EndpointListForwarder; short reads skip the memory check

Cause: node.EndpointListForwarder had the simple name of discovery's. Change: it is EndpointListDispatcher now. A read of 1 KiB or less doesn't ask how much memory is in use; the acceptor looks for a dropped value without a stream.

--- a/src/main/java/quotagateway/node/BackendClients.java
+++ b/src/main/java/quotagateway/node/BackendClients.java
@@ -17,7 +17,7 @@
  */
 record BackendClients(
         DiscoveryClient discovery,
-        EndpointListForwarder discoveryListener,
+        EndpointListDispatcher discoveryListener,
         EndpointPool endpoints,
         CounterClient counter) {
 
@@ -35,7 +35,7 @@
                 config,
                 descriptors.endpointConnections(),
                 memory::hasRoomForResponse);
-        EndpointListForwarder discoveryListener = new EndpointListForwarder(loop, endpoints, policy, telemetry);
+        EndpointListDispatcher discoveryListener = new EndpointListDispatcher(loop, endpoints, policy, telemetry);
         DiscoveryClient discovery = new DiscoveryClient(loop, discoveryListener, loop.group(), config);
         CounterClient counter = new CounterClient(
                 loop,
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
 import quotagateway.client.ClientCommand;
 import quotagateway.client.ClientRequestHandler;
 import quotagateway.client.MalformedCommandException;
@@ -108,8 +109,15 @@
     }
 
     private static boolean isValueDiscarded(ArrayRedisMessage message, RequestBody body) {
-        return (body != null && body.isConsumed())
-                || message.children().stream().anyMatch(DiscardedValue.class::isInstance);
+        if (body != null && body.isConsumed()) {
+            return true;
+        }
+        for (RedisMessage argument : message.children()) {
+            if (argument instanceof DiscardedValue) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Rejects a request, of which nothing has been sent to an endpoint. */
--- a/src/main/java/quotagateway/node/EndpointListForwarder.java
+++ b/src/main/java/quotagateway/node/EndpointListDispatcher.java
@@ -12,13 +12,13 @@
  * Forwards events of discovery to the pool first, so that attempts queued there no longer go to a draining endpoint,
  * and then to the policy, which in turn decides which endpoints the pool uses.
  */
-final class EndpointListForwarder implements DiscoveryListener {
+final class EndpointListDispatcher implements DiscoveryListener {
     private final EventLoopContext loop;
     private final EndpointPool endpoints;
     private final PolicyInvoker policy;
     private final NodeTelemetry telemetry;
 
-    EndpointListForwarder(
+    EndpointListDispatcher(
             EventLoopContext loop, EndpointPool endpoints, PolicyInvoker policy, NodeTelemetry telemetry) {
         this.loop = loop;
         this.endpoints = endpoints;
--- a/src/main/java/quotagateway/transport/BoundedReceiveAllocator.java
+++ b/src/main/java/quotagateway/transport/BoundedReceiveAllocator.java
@@ -41,9 +41,9 @@
 
         @Override
         public ByteBuf allocate(ByteBufAllocator alloc) {
-            readsLess = memoryShort.getAsBoolean();
             int usualBytes = handle.guess();
-            return alloc.ioBuffer(readsLess ? Math.min(usualBytes, READ_BYTES_WHILE_SHORT) : usualBytes);
+            readsLess = usualBytes > READ_BYTES_WHILE_SHORT && memoryShort.getAsBoolean();
+            return alloc.ioBuffer(readsLess ? READ_BYTES_WHILE_SHORT : usualBytes);
         }
 
         @Override
