--- a/src/main/java/quotagateway/transport/BoundedReceiveAllocator.java
+++ b/src/main/java/quotagateway/transport/BoundedReceiveAllocator.java
@@ -15,7 +15,7 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2048;
     private static final int MAX_READ_BYTES = 16 * 1024;
-    private static final int READ_BYTES_WHILE_SHORT = 1024;
+    private static final int READ_BYTES_WHILE_SHORT = 512;
 
     private final BooleanSupplier memoryShort;
 
--- a/src/main/java/quotagateway/transport/ReceivedBufferCompactor.java
+++ b/src/main/java/quotagateway/transport/ReceivedBufferCompactor.java
@@ -14,7 +14,7 @@
     /** The only instance, as it has no state. */
     public static final ReceivedBufferCompactor INSTANCE = new ReceivedBufferCompactor();
     /** A smaller buffer (bytes) costs less than its copy. */
-    private static final int MIN_COMPACTED_BYTES = 1024;
+    private static final int MIN_COMPACTED_BYTES = 512;
 
     private ReceivedBufferCompactor() {}
 
