--- a/src/main/java/quotagateway/admin/Metrics.java
+++ b/src/main/java/quotagateway/admin/Metrics.java
@@ -8,6 +8,7 @@
 import quotagateway.lifecycle.Invariant;
 import quotagateway.lifecycle.RequestOutcome;
 import quotagateway.lifecycle.SendDenial;
+import quotagateway.lifecycle.StreamEnd;
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.FailureReason;
 import quotagateway.policy.api.RequestClass;
@@ -33,6 +34,7 @@
     private final Map<CallOutcome, Long> retries = new EnumMap<>(CallOutcome.class);
     private final Map<SendDenial, Long> denials = new EnumMap<>(SendDenial.class);
     private final Map<Invariant, Long> violations = new EnumMap<>(Invariant.class);
+    private final Map<StreamEnd, Long> streamEnds = new EnumMap<>(StreamEnd.class);
     private final Map<CloseReason, Long> clientCloses = new EnumMap<>(CloseReason.class);
     private final Map<CloseReason, Long> endpointCloses = new EnumMap<>(CloseReason.class);
 
@@ -86,6 +88,11 @@
         increment(violations, invariant);
     }
 
+    /** Counts a streamed response that has ended. */
+    public void countStreamEnd(StreamEnd end) {
+        increment(streamEnds, end);
+    }
+
     /** Counts a client connection that has ended. */
     public void countClientClosed(CloseReason reason) {
         increment(clientCloses, reason);
@@ -121,6 +128,7 @@
         text.countsBy("reason", "refusals_total", "Requests refused, by reason.", rejections);
         text.countsBy("reason", "failures_total", "Requests failed, by reason.", failures);
         text.countsBy("after", "retries_total", "Further attempts, by the outcome of the one before.", retries);
+        text.countsBy("end", "streams_total", "Values above 64 KiB passed on to clients, by end.", streamEnds);
         text.countsBy("reason", "client_closes_total", "Clients' connections ended, by reason.", clientCloses);
         text.countsBy("reason", "server_closes_total", "Place servers' connections ended, by reason.", endpointCloses);
         text.countsBy("reason", "sends_denied_total", "Attempts not written after all, by reason.", denials);
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -40,6 +40,7 @@
     private final LargeBodyReceiver largeBody;
     private final ResponseQueue responses;
     private final ClosingSequence closingSequence;
+    private final OutputProgress outputProgress;
     private RespFrameTracker frameTracker;
 
     /**
@@ -59,6 +60,7 @@
         largeBody = new LargeBodyReceiver(this, loop, requestHandler, timer);
         responses = new ResponseQueue(this, channel, loop);
         closingSequence = new ClosingSequence(channel);
+        outputProgress = new OutputProgress(loop);
     }
 
     /** Adds the connection's handlers to its channel; called once, before anything is read. */
@@ -219,6 +221,16 @@
         return closingSequence.unsentBytes() == 0;
     }
 
+    /** Notes how much output the system has not taken over yet; called periodically. */
+    void sampleOutput() {
+        outputProgress.sample(channel.unsafe().outboundBuffer());
+    }
+
+    /** Returns how long (ms) the system has taken over none of the unsent output; 0 if there is none. */
+    double outputBlockedMs() {
+        return outputProgress.blockedMs();
+    }
+
     boolean hasOpenResponses() {
         return !responses.isEmpty();
     }
--- a/src/main/java/quotagateway/client/ClientListener.java
+++ b/src/main/java/quotagateway/client/ClientListener.java
@@ -52,11 +52,17 @@
      * Creates a listener that is not bound yet.
      *
      * @param maxConnections limit of connections, which {@link #connectionsBeyondLimit} may exceed
+     * @param outputBlockedTimeoutMs how long (ms) the system has to take over nothing of a connection's output before
+     *     the connection may be closed for others' sake
      */
-    public ClientListener(EventLoopContext loop, ClientRequestHandler requestHandler, int maxConnections) {
+    public ClientListener(
+            EventLoopContext loop,
+            ClientRequestHandler requestHandler,
+            int maxConnections,
+            double outputBlockedTimeoutMs) {
         this.loop = loop;
         this.requestHandler = requestHandler;
-        connections = new ConnectionTable(loop, maxConnections);
+        connections = new ConnectionTable(loop, maxConnections, outputBlockedTimeoutMs);
         acceptQueue = new AcceptQueueHandler(loop, MAX_ACCEPTS_PER_READ);
         context = new ListenerContext(loop, requestHandler, connections, new ReadAheadBudget(loop), this::enforceLimit);
     }
@@ -143,6 +149,7 @@
     private void sweep() {
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep); // first, so that a fault doesn't end the sweeps
         connections.rejectOverdueCommands();
+        connections.sampleOutput();
         if (hasListened()) {
             updateAccepting(); // the limit may have been raised
         }
@@ -177,6 +184,11 @@
         }
     }
 
+    /** Closes the connection whose client has taken nothing for longest, if there is such a one. */
+    public void closeLongestBlocked() {
+        connections.closeLongestBlocked();
+    }
+
     /** Resumes connections that were held back because the buffers of all requests were full. */
     public void resumeReading() {
         connections.resumeReading();
--- a/src/main/java/quotagateway/client/ConnectionTable.java
+++ b/src/main/java/quotagateway/client/ConnectionTable.java
@@ -27,6 +27,8 @@
     private static final ClientConnection[] NO_CONNECTIONS = {};
 
     private final EventLoopContext loop;
+    /** How long (ms) a connection's output has to be blocked before the connection may be closed for others' sake. */
+    private final double outputBlockedTimeoutMs;
     /** All connections except evicted ones; those that have been without a request for longest come first. */
     private final Set<ClientConnection> openConnections = new LinkedHashSet<>();
     /** The open connections that have sent no complete command yet, the oldest first. */
@@ -38,8 +40,9 @@
 
     private boolean closingAfterResponses;
 
-    ConnectionTable(EventLoopContext loop, int limit) {
+    ConnectionTable(EventLoopContext loop, int limit, double outputBlockedTimeoutMs) {
         this.loop = loop;
+        this.outputBlockedTimeoutMs = outputBlockedTimeoutMs;
         this.limit = limit;
     }
 
@@ -94,13 +97,41 @@
         return openConnections.size() < limit + ClientListener.connectionsBeyondLimit(limit);
     }
 
-    /** Evicts connections until the limit is met or no connection may be evicted. */
+    /**
+     * Evicts connections until the limit is met or no connection may be evicted; then one whose client takes nothing.
+     */
     void evictBeyondLimit() {
         ClientConnection candidate = evictionCandidate();
         while (candidate != null) {
             evict(candidate);
             candidate = evictionCandidate();
         }
+        if (openConnections.size() > limit) {
+            closeLongestBlocked();
+        }
+    }
+
+    /**
+     * Closes the connection whose output has been blocked for longest, if that is long enough: memory, descriptors or
+     * connections to endpoints have run out, and such a client may hold some of each forever.
+     */
+    void closeLongestBlocked() {
+        ClientConnection longest = null;
+        double longestMs = outputBlockedTimeoutMs;
+        for (ClientConnection connection : openConnections) {
+            if (connection.outputBlockedMs() > longestMs) {
+                longestMs = connection.outputBlockedMs();
+                longest = connection;
+            }
+        }
+        if (longest != null) {
+            longest.closeNow(CloseReason.UNREAD);
+        }
+    }
+
+    /** Notes how much output of each connection the system has not taken over yet; called periodically. */
+    void sampleOutput() {
+        openConnections.forEach(ClientConnection::sampleOutput);
     }
 
     /**
--- a/src/main/java/quotagateway/log/NodeEvent.java
+++ b/src/main/java/quotagateway/log/NodeEvent.java
@@ -7,6 +7,7 @@
 import quotagateway.lifecycle.NodeState;
 import quotagateway.lifecycle.RequestOutcome;
 import quotagateway.lifecycle.SendDenial;
+import quotagateway.lifecycle.StreamEnd;
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.EndpointState;
 import quotagateway.policy.api.FailureReason;
@@ -90,6 +91,26 @@
         }
     }
 
+    /**
+     * A streamed response has ended, after so many of its bytes were written to the client's connection. It had been
+     * held up by its client for {@code clientBlockedMs} and by its endpoint for {@code endpointSilentMs}, or for 0.
+     */
+    record StreamEnded(
+            String request,
+            StreamEnd end,
+            int writtenBytes,
+            int length,
+            double clientBlockedMs,
+            double endpointSilentMs)
+            implements NodeEvent {
+        @Override
+        public String text() {
+            return "stream_ended request=" + request + " end=" + end + " written=" + writtenBytes + " length=" + length
+                    + " client_blocked_ms=" + Math.round(clientBlockedMs) + " endpoint_silent_ms="
+                    + Math.round(endpointSilentMs);
+        }
+    }
+
     /** The client of a request has disconnected. */
     record RequestAbandoned(String request) implements NodeEvent {
         @Override
--- a/src/main/java/quotagateway/node/GatewayNode.java
+++ b/src/main/java/quotagateway/node/GatewayNode.java
@@ -46,14 +46,18 @@
         PolicyInvoker policy = new PolicyInvoker(loop);
         backends = BackendClients.create(loop, config, descriptors, directMemory, policy, telemetry);
         MemoryBudget memory = new MemoryBudget(loop, directMemory);
-        RequestTable requests = new RequestTable(loop, guard, telemetry, policy, backends.endpoints());
+        RequestTable requests =
+                new RequestTable(loop, guard, telemetry, policy, backends.endpoints(), config.keepAliveMs());
         AttemptHandler attemptHandler =
                 new AttemptHandler(loop, guard, telemetry, policy, backends.endpoints(), requests);
         policyActions = new PolicyActionExecutor(loop, policy, requests, attemptHandler, backends);
         ClientRequestAcceptor acceptor = new ClientRequestAcceptor(
                 loop, config.settings(), guard, telemetry, policy, memory, requests, attemptHandler);
-        ClientListener clients = new ClientListener(loop, acceptor, descriptors.clientConnections());
+        ClientListener clients =
+                new ClientListener(loop, acceptor, descriptors.clientConnections(), config.keepAliveMs());
         memory.onAvailable(clients::resumeReading);
+        memory.onShortage(clients::closeLongestBlocked);
+        backends.endpoints().onExhausted(clients::closeLongestBlocked);
 
         cordons = new CordonStore(loop, policy, telemetry::record, config.stateDirectory(), config.name());
         admin = new AdminServer(
--- a/src/main/java/quotagateway/node/MemoryBudget.java
+++ b/src/main/java/quotagateway/node/MemoryBudget.java
@@ -15,6 +15,7 @@
     private final EventLoopContext loop;
     private final DirectMemory memory;
     private Runnable onAvailable = () -> {};
+    private Runnable onShortage = () -> {};
     private boolean checkScheduled;
 
     MemoryBudget(EventLoopContext loop, DirectMemory memory) {
@@ -27,6 +28,11 @@
         onAvailable = action;
     }
 
+    /** Sets the action that runs at each check that finds the budget exhausted. */
+    void onShortage(Runnable action) {
+        onShortage = action;
+    }
+
     /** Returns whether no client may be read; if so, the end of that is reported. */
     boolean isExhausted() {
         boolean exhausted = !memory.hasRoomForResponse(0);
@@ -39,7 +45,9 @@
 
     private void check() {
         checkScheduled = false;
-        if (!isExhausted()) {
+        if (isExhausted()) {
+            onShortage.run();
+        } else {
             onAvailable.run();
         }
     }
--- a/src/main/java/quotagateway/node/NodeTelemetry.java
+++ b/src/main/java/quotagateway/node/NodeTelemetry.java
@@ -8,10 +8,12 @@
 import quotagateway.lifecycle.NodeState;
 import quotagateway.lifecycle.RequestOutcome;
 import quotagateway.lifecycle.SendDenial;
+import quotagateway.lifecycle.StreamEnd;
 import quotagateway.log.EventLog;
 import quotagateway.log.NodeEvent;
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.FailureReason;
+import quotagateway.streaming.StreamedResponse;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.upstream.Attempt;
 
@@ -93,11 +95,21 @@
         record(new NodeEvent.RequestAbandoned(command.id()));
     }
 
-    /** A streamed response has ended; the outcome is null if its client has disconnected. */
-    void onStreamEnded(ClientCommand command, RequestOutcome outcome) {
-        if (outcome != null) {
-            metrics.countCompleted(command.requestClass(), outcome);
+    /** A streamed response has ended. A client that has disconnected has no outcome. */
+    void onStreamEnded(ClientCommand command, StreamedResponse stream, StreamEnd end) {
+        metrics.countStreamEnd(end);
+        if (end == StreamEnd.COMPLETE) {
+            metrics.countCompleted(command.requestClass(), RequestOutcome.FULFILLED);
+        } else if (end != StreamEnd.CLIENT_GONE) {
+            metrics.countCompleted(command.requestClass(), RequestOutcome.FAULTED);
         }
+        record(new NodeEvent.StreamEnded(
+                command.id(),
+                end,
+                stream.writtenBytes(),
+                stream.length(),
+                stream.clientBlockedMs(),
+                stream.endpointSilentMs()));
     }
 
     // ---- attempts ----
--- a/src/main/java/quotagateway/node/RequestTable.java
+++ b/src/main/java/quotagateway/node/RequestTable.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import quotagateway.lifecycle.RequestOutcome;
+import quotagateway.lifecycle.StreamEnd;
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.FailureReason;
 import quotagateway.streaming.ResponseSource;
@@ -29,6 +30,12 @@
      */
     private static final double POLICY_GRACE_MS = 8;
 
+    /**
+     * The least time (ms) without a byte of a streamed response after which its endpoint is taken for gone. Otherwise
+     * that is the time for which endpoints keep an idle connection: one that has vanished says nothing.
+     */
+    private static final double MIN_STREAM_SILENCE_TIMEOUT_MS = 5000;
+
     private static final double NO_SHUTDOWN = Double.MAX_VALUE;
 
     private final EventLoopContext loop;
@@ -36,6 +43,7 @@
     private final NodeTelemetry telemetry;
     private final PolicyInvoker policy;
     private final EndpointPool endpoints;
+    private final double streamSilenceTimeoutMs;
     private final LongObjectHashMap<ActiveRequest> requestsById = new LongObjectHashMap<>();
     private final Set<String> clientIds = new HashSet<>();
     private long lastId;
@@ -51,12 +59,14 @@
             LifecycleGuard guard,
             NodeTelemetry telemetry,
             PolicyInvoker policy,
-            EndpointPool endpoints) {
+            EndpointPool endpoints,
+            double keepAliveMs) {
         this.loop = loop;
         this.guard = guard;
         this.telemetry = telemetry;
         this.policy = policy;
         this.endpoints = endpoints;
+        streamSilenceTimeoutMs = Math.max(MIN_STREAM_SILENCE_TIMEOUT_MS, keepAliveMs);
     }
 
     // ---- contents ----
@@ -192,15 +202,20 @@
     StreamedResponse respondWithStream(ActiveRequest request, int length, ResponseSource source) {
         complete(request);
         openCount++;
-        StreamedResponse stream =
-                new StreamedResponse(loop, source, request.slot(), length, outcome -> onStreamEnded(request, outcome));
+        StreamedResponse stream = new StreamedResponse(
+                loop,
+                source,
+                request.slot(),
+                length,
+                streamSilenceTimeoutMs,
+                (ended, end) -> onStreamEnded(request, ended, end));
         request.slot().respondWith(stream);
         return stream;
     }
 
-    private void onStreamEnded(ActiveRequest request, RequestOutcome outcome) {
+    private void onStreamEnded(ActiveRequest request, StreamedResponse stream, StreamEnd end) {
         openCount--;
-        telemetry.onStreamEnded(request.command(), outcome);
+        telemetry.onStreamEnded(request.command(), stream, end);
     }
 
     /**
--- a/src/main/java/quotagateway/streaming/StreamedResponse.java
+++ b/src/main/java/quotagateway/streaming/StreamedResponse.java
@@ -9,69 +9,106 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.function.Consumer;
-import quotagateway.lifecycle.RequestOutcome;
+import quotagateway.lifecycle.StreamEnd;
 import quotagateway.transport.EventLoopContext;
 
 /**
  * A response that is too large to be held in memory and is streamed from an endpoint to a client. Parts are written as
  * they arrive; the endpoint is read only while the client's connection is writable.
  *
- * <p>A stream ends once, in one of three ways: it is written completely ({@code FULFILLED}), its source fails or the
- * stream stalls ({@code FAULTED}), or its client disconnects (no outcome, as no response reaches the client).
+ * <p>A client has no least pace: that its connection is not writable does not tell whether it reads, as the system's
+ * buffers may hold all of a value. So only the endpoint's silence ends a stream, and only while the endpoint is read.
+ *
+ * <p>A stream ends once (see {@link StreamEnd}).
  */
 public final class StreamedResponse {
-    /** Time (ms) without a byte from the endpoint or without a byte taken by the client after which a stream fails. */
-    private static final double STALL_TIMEOUT_MS = 5000;
+    /** Is told once that a stream has ended. */
+    @FunctionalInterface
+    public interface EndListener {
+        /** The stream has ended for this reason; what it says of itself still holds. */
+        void onStreamEnded(StreamedResponse stream, StreamEnd end);
+    }
 
-    private static final double STALL_CHECK_INTERVAL_MS = 500;
+    private static final double SILENCE_CHECK_INTERVAL_MS = 500;
 
     private final EventLoopContext loop;
     private final ResponseSource source;
     private final ResponseSink sink;
-    private final Consumer<RequestOutcome> onEnded;
+    private final EndListener listener;
     private final int length;
+    private final double silenceTimeoutMs;
     /** Parts that arrived before all earlier responses were written. */
     private final ArrayDeque<ByteBuf> bufferedParts = new ArrayDeque<>();
 
     /** The client's connection; null until all earlier responses have been written. */
     private Channel client;
 
+    private boolean reading = true;
     private boolean fullyReceived;
     private boolean ended;
-    private double lastProgressMs;
-    private Future<?> stallCheck;
+    /** Bytes that were written to the client's connection, whether or not the system has taken them over. */
+    private int writtenBytes;
+    /** When the last part arrived, or reading was resumed after a pause. */
+    private double lastReceivedMs;
+    /** When reading was paused last. */
+    private double pausedAtMs;
+
+    private Future<?> silenceCheck;
 
     /**
      * Creates a stream of which only the length has arrived.
      *
      * @param sink the position of the response on the client's connection
      * @param length length of the response in bytes
-     * @param onEnded called with the outcome when the stream ends, with null if the client has disconnected
+     * @param silenceTimeoutMs time (ms) without a byte from the endpoint, while read, after which the stream fails
+     * @param listener is told of the end
      */
     public StreamedResponse(
             EventLoopContext loop,
             ResponseSource source,
             ResponseSink sink,
             int length,
-            Consumer<RequestOutcome> onEnded) {
+            double silenceTimeoutMs,
+            EndListener listener) {
         this.loop = loop;
         this.source = source;
         this.sink = sink;
-        this.onEnded = onEnded;
         this.length = length;
-        lastProgressMs = loop.now();
-        stallCheck = loop.schedule(STALL_CHECK_INTERVAL_MS, this::checkProgress);
+        this.silenceTimeoutMs = silenceTimeoutMs;
+        this.listener = listener;
+        lastReceivedMs = loop.now();
+        silenceCheck = loop.schedule(SILENCE_CHECK_INTERVAL_MS, this::checkSilence);
     }
 
-    private void checkProgress() {
-        if (client != null && loop.now() - lastProgressMs > STALL_TIMEOUT_MS) {
-            onSourceFailed();
-        } else if (!ended) {
-            stallCheck = loop.schedule(STALL_CHECK_INTERVAL_MS, this::checkProgress);
+    private void checkSilence() {
+        if (endpointSilentMs() > silenceTimeoutMs) {
+            fail(StreamEnd.ENDPOINT_SILENT);
+        }
+        if (!ended) {
+            silenceCheck = loop.schedule(SILENCE_CHECK_INTERVAL_MS, this::checkSilence);
         }
     }
 
+    /** Returns the length of the value (bytes). */
+    public int length() {
+        return length;
+    }
+
+    /** Returns how many bytes of the value were written to the client's connection. */
+    public int writtenBytes() {
+        return writtenBytes;
+    }
+
+    /** Returns how long (ms) the endpoint has not been read, as the client takes no more for now; 0 if it is read. */
+    public double clientBlockedMs() {
+        return reading ? 0 : loop.now() - pausedAtMs;
+    }
+
+    /** Returns how long (ms) the endpoint has sent nothing though it is read; 0 if it is not read. */
+    public double endpointSilentMs() {
+        return reading && !fullyReceived ? loop.now() - lastReceivedMs : 0;
+    }
+
     // ---- from the endpoint ----
 
     /** Takes ownership of the next part. */
@@ -80,7 +117,7 @@
             part.release();
             return;
         }
-        lastProgressMs = loop.now();
+        lastReceivedMs = loop.now();
         fullyReceived = last;
         if (client == null) {
             bufferedParts.add(part);
@@ -89,17 +126,21 @@
         }
         updateReading();
         if (last) {
-            source.setReading(true); // later input on that connection does not belong to this stream
+            setReading(true); // later input on that connection does not belong to this stream
         }
     }
 
     /** Called when the rest will not arrive, as the endpoint's connection has ended or its input is malformed. */
     public void onSourceFailed() {
+        fail(StreamEnd.ENDPOINT_CLOSED);
+    }
+
+    private void fail(StreamEnd reason) {
         if (ended || fullyReceived) {
             return;
         }
         boolean writingStarted = client != null;
-        end(RequestOutcome.FAULTED);
+        end(reason);
         source.stop();
         if (writingStarted) {
             sink.abort();
@@ -116,7 +157,6 @@
             return;
         }
         client = channel;
-        lastProgressMs = loop.now();
         client.write(new BulkStringHeaderRedisMessage(length), client.voidPromise());
         loop.flushLater(client);
         while (!bufferedParts.isEmpty()) {
@@ -129,29 +169,36 @@
     /** Reads from the endpoint while the client's connection is writable, and pauses reading otherwise. */
     public void updateReading() {
         if (!ended && !fullyReceived) {
-            boolean writable = client != null && client.isWritable();
-            if (writable) {
-                lastProgressMs = loop.now();
-            }
-            source.setReading(writable);
+            setReading(client != null && client.isWritable());
+        }
+    }
+
+    private void setReading(boolean read) {
+        if (read && !reading) {
+            lastReceivedMs = loop.now();
+        } else if (!read && reading) {
+            pausedAtMs = loop.now();
         }
+        reading = read;
+        source.setReading(read);
     }
 
     /** Called when the client has disconnected, so that the rest is not needed. */
     public void onClientDisconnected() {
         if (!ended) {
-            end(null);
+            end(StreamEnd.CLIENT_GONE);
             source.stop();
         }
     }
 
     private void write(ByteBuf part, boolean last) {
+        writtenBytes += part.readableBytes();
         if (!last) {
             client.write(new DefaultBulkStringRedisContent(part), client.voidPromise());
         } else {
             client.write(new DefaultLastBulkStringRedisContent(part)).addListener(written -> {
                 if (written.isSuccess()) {
-                    end(RequestOutcome.FULFILLED);
+                    end(StreamEnd.COMPLETE);
                 }
             });
             sink.onStreamCompleted();
@@ -159,13 +206,13 @@
         loop.flushLater(client);
     }
 
-    private void end(RequestOutcome outcome) {
+    private void end(StreamEnd reason) {
         if (!ended) {
             ended = true;
-            stallCheck.cancel(false);
+            silenceCheck.cancel(false);
             bufferedParts.forEach(ReferenceCountUtil::release);
             bufferedParts.clear();
-            onEnded.accept(outcome);
+            listener.onStreamEnded(this, reason);
         }
     }
 }
--- a/src/main/java/quotagateway/upstream/EndpointPool.java
+++ b/src/main/java/quotagateway/upstream/EndpointPool.java
@@ -54,6 +54,7 @@
     private int listNumber;
 
     private boolean policyNotified;
+    private Runnable onExhausted = () -> {};
 
     /**
      * Creates a pool without endpoints.
@@ -99,6 +100,11 @@
         return ready;
     }
 
+    /** Sets the action that runs each time an attempt finds no connection, as all of them are in use. */
+    public void onExhausted(Runnable action) {
+        onExhausted = action;
+    }
+
     /** Begins to look for idle connections to close; called once. */
     public void start() {
         loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
@@ -220,6 +226,7 @@
             connect(endpoint);
         } else {
             endLater(attempt, CallOutcome.NO_CONNECTION);
+            onExhausted.run();
         }
     }
 
--- a/src/test/java/quotagateway/client/ConnectionTableTest.java
+++ b/src/test/java/quotagateway/client/ConnectionTableTest.java
@@ -70,6 +70,48 @@
         assertTrue(clients.closed.contains(CloseReason.EVICTED));
     }
 
+    /** Guards against outages by clients that never read: at the limit the one that is blocked longest is closed. */
+    @Test
+    void longestBlockedConnectionIsClosedAtTheLimitOnly() {
+        EmbeddedDuplexChannel blockedFirst = connectAndBlock();
+        clients.loop.advance(1000);
+        EmbeddedDuplexChannel blockedLater = connectAndBlock();
+        clients.table.setLimit(2);
+        clients.loop.advance(ClientConnectionFixture.OUTPUT_BLOCKED_TIMEOUT_MS + 1);
+        clients.table.evictBeyondLimit();
+        assertTrue(blockedFirst.isOpen());
+        clients.connect();
+        clients.table.evictBeyondLimit();
+        assertFalse(blockedFirst.isOpen());
+        assertTrue(blockedLater.isOpen());
+        assertEquals(List.of(CloseReason.UNREAD), clients.closed);
+    }
+
+    /** Guards against cutting off slow readers: any output that the system takes over starts the time anew. */
+    @Test
+    void connectionThatTakesOutputSlowlyIsNotClosedForOthers() {
+        EmbeddedDuplexChannel slow = connectAndBlock();
+        clients.loop.advance(ClientConnectionFixture.OUTPUT_BLOCKED_TIMEOUT_MS - 1);
+        slow.blockOutput(false);
+        slow.blockOutput(true);
+        slow.receive(PING);
+        clients.table.sampleOutput();
+        clients.loop.advance(ClientConnectionFixture.OUTPUT_BLOCKED_TIMEOUT_MS - 1);
+        clients.table.closeLongestBlocked();
+        assertTrue(slow.isOpen());
+        clients.loop.advance(2);
+        clients.table.closeLongestBlocked();
+        assertFalse(slow.isOpen());
+    }
+
+    private EmbeddedDuplexChannel connectAndBlock() {
+        EmbeddedDuplexChannel channel = clients.connect();
+        channel.blockOutput(true);
+        channel.receive(PING);
+        clients.table.sampleOutput();
+        return channel;
+    }
+
     @Test
     void overdueCommandIsAnsweredWithAnError() {
         EmbeddedDuplexChannel silent = clients.connect();
--- a/src/test/java/quotagateway/client/EmbeddedDuplexChannel.java
+++ b/src/test/java/quotagateway/client/EmbeddedDuplexChannel.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.DuplexChannel;
@@ -12,6 +13,20 @@
 /** An in-memory client connection whose output can be shut down separately. */
 final class EmbeddedDuplexChannel extends EmbeddedChannel implements DuplexChannel {
     private boolean outputShutDown;
+    private boolean outputBlocked;
+
+    /** Simulates a system that takes over no output, or takes it over again. */
+    void blockOutput(boolean blocked) {
+        outputBlocked = blocked;
+        flush();
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer output) throws Exception {
+        if (!outputBlocked) {
+            super.doWrite(output);
+        }
+    }
 
     /** Simulates a client that sends the text, which the gateway reads. */
     void receive(String text) {
