--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -57,7 +57,7 @@
         requestHandler = listenerContext.requestHandler();
         readAhead = new ReadAhead(loop, listenerContext.readAheadBudget(), maxQueueWaitMs);
         timer = new CommandTimer(loop);
-        largeBody = new LargeBodyReceiver(this, loop, requestHandler, timer);
+        largeBody = new LargeBodyReceiver(this, requestHandler, timer, readAhead);
         responses = new ResponseQueue(this, channel, loop);
         closingSequence = new ClosingSequence(channel);
         outputProgress = new OutputProgress(loop);
--- a/src/main/java/quotagateway/client/LargeBodyReceiver.java
+++ b/src/main/java/quotagateway/client/LargeBodyReceiver.java
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import quotagateway.resp.LargeValueHandler;
+import quotagateway.streaming.ArrivalTimes;
 import quotagateway.streaming.RequestBody;
-import quotagateway.transport.EventLoopContext;
 
 /**
  * Receives the large body of a command on one connection. The command arrives before its body, and is kept here until
@@ -15,9 +15,9 @@
  */
 final class LargeBodyReceiver implements LargeValueHandler {
     private final ClientConnection connection;
-    private final EventLoopContext loop;
     private final ClientRequestHandler requestHandler;
     private final CommandTimer timer;
+    private final ArrivalTimes arrivalTimes;
     /** The body that is being received; null between bodies. */
     private RequestBody body;
     /** Whether the body belongs to a request command. */
@@ -29,13 +29,13 @@
 
     LargeBodyReceiver(
             ClientConnection connection,
-            EventLoopContext loop,
             ClientRequestHandler requestHandler,
-            CommandTimer timer) {
+            CommandTimer timer,
+            ArrivalTimes arrivalTimes) {
         this.connection = connection;
-        this.loop = loop;
         this.requestHandler = requestHandler;
         this.timer = timer;
+        this.arrivalTimes = arrivalTimes;
     }
 
     @Override
@@ -48,7 +48,7 @@
         if (!connection.isReading()) {
             return false;
         }
-        body = new RequestBody(length, loop.now(), connection::updateReading);
+        body = new RequestBody(length, arrivalTimes, connection::updateReading);
         commandAttached = false;
         return true;
     }
@@ -66,7 +66,7 @@
         if (!connection.isReading() || !commandAttached || !hasRoom) {
             currentBody.discard();
         }
-        currentBody.append(part);
+        currentBody.append(part, last);
         if (pendingCommand != null && (currentBody.isReadyToForward() || currentBody.isConsumed())) {
             submitCommand(currentBody);
         }
--- a/src/main/java/quotagateway/client/ReadAhead.java
+++ b/src/main/java/quotagateway/client/ReadAhead.java
@@ -1,10 +1,12 @@
 package quotagateway.client;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import quotagateway.streaming.ArrivalTimes;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.transport.SocketAge;
 import quotagateway.transport.Transport;
@@ -17,10 +19,13 @@
  * <p>Input is forwarded in a later iteration of the event loop than the one in which it was read. If the connection
  * ends directly after the input, the end is known by then and the input is discarded.
  */
-final class ReadAhead extends ChannelInboundHandlerAdapter {
+final class ReadAhead extends ChannelInboundHandlerAdapter implements ArrivalTimes {
     /** The bytes of one read, and when they arrived (ms of the loop's clock). */
     private record Chunk(ByteBuf buffer, double receivedAtMs) {}
 
+    /** The socket was read until it was empty, and has been read as input arrived since then. */
+    private static final double NOTHING_UNREAD = Double.MAX_VALUE;
+
     private final EventLoopContext loop;
     private final ReadAheadBudget budget;
     private final int maxBytes = Transport.readAheadBytes();
@@ -30,6 +35,8 @@
     private double maxQueueWaitMs;
     /** When the bytes that were forwarded last arrived (ms of the loop's clock). */
     private double receivedAtMs;
+    /** Since when (ms of the loop's clock) there may have been input that is still unread. */
+    private double unreadSinceMs = NOTHING_UNREAD;
 
     private ChannelHandlerContext context;
     private int bufferedBytes;
@@ -50,11 +57,18 @@
         receivedAtMs = openedAtMs;
     }
 
-    /** Returns when the bytes that were forwarded last arrived (ms of the loop's clock), long ago if held back. */
-    double receivedAtMs() {
+    @Override
+    public double receivedAtMs() {
         return receivedAtMs;
     }
 
+    @Override
+    public double nextByteAtMs() {
+        return chunks.isEmpty()
+                ? Math.min(loop.now(), unreadSinceMs)
+                : chunks.peek().receivedAtMs();
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -102,7 +116,7 @@
             return;
         }
         ByteBuf buffer = (ByteBuf) msg;
-        chunks.add(new Chunk(buffer, loop.now() - unreadDurationMs()));
+        chunks.add(new Chunk(buffer, Math.min(unreadSinceMs, loop.now() - unreadDurationMs())));
         addBuffered(buffer.capacity()); // not readableBytes(): one byte of a slow client may hold a large buffer
         updateAutoRead();
     }
@@ -122,9 +136,18 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (ctx.channel().config().isAutoRead() && isSocketEmpty(ctx.channel())) {
+            unreadSinceMs = NOTHING_UNREAD;
+        }
         scheduleForward();
     }
 
+    /** Returns whether the last read got less than it could have got. */
+    private static boolean isSocketEmpty(Channel channel) {
+        var lastRead = channel.unsafe().recvBufAllocHandle();
+        return lastRead.lastBytesRead() <= 0 || lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
+    }
+
     private void scheduleForward() {
         if (!heldBack && !forwardScheduled && !chunks.isEmpty()) {
             forwardScheduled = true;
@@ -163,6 +186,9 @@
         boolean autoRead = !shutDown && belowConnectionLimit && belowSharedLimit;
         if (context.channel().config().isAutoRead() != autoRead) {
             context.channel().config().setAutoRead(autoRead);
+            if (!autoRead) {
+                unreadSinceMs = Math.min(unreadSinceMs, loop.now());
+            }
         }
         if (!shutDown && belowConnectionLimit && !belowSharedLimit) {
             budget.awaitCapacity(this);
--- a/src/main/java/quotagateway/node/ActiveRequest.java
+++ b/src/main/java/quotagateway/node/ActiveRequest.java
@@ -164,6 +164,12 @@
         attemptsInFlight--;
     }
 
+    /** Returns the time (ms) that an endpoint has had for an attempt, which begins once the body has arrived. */
+    double msAtEndpoint(Attempt attempt, double now) {
+        boolean bodyArrived = body != null && body.isComplete();
+        return now - (bodyArrived ? Math.max(attempt.sentAt(), body.lastByteAtMs()) : attempt.sentAt());
+    }
+
     /** Whether an attempt has begun to send the body, or the body was discarded; no other attempt can send it then. */
     boolean isBodyConsumed() {
         return body != null && body.isConsumed();
--- a/src/main/java/quotagateway/node/AttemptHandler.java
+++ b/src/main/java/quotagateway/node/AttemptHandler.java
@@ -114,7 +114,7 @@
             requests.respond(request, ReferenceCountUtil.retain(value), RequestOutcome.FULFILLED, null);
         }
         attempt.recordOutcome(outcome);
-        telemetry.onAttemptEnded(request.command(), attempt, outcome, now - attempt.sentAt());
+        telemetry.onAttemptEnded(request.command(), attempt, outcome, request.msAtEndpoint(attempt, now));
         if (!reportEndToPolicy(request, attempt, now, load)) {
             requests.failWithoutDecision(request);
         }
@@ -132,7 +132,7 @@
         request.onAttemptFinished();
         double now = loop.now();
         attempt.recordOutcome(CallOutcome.OK);
-        telemetry.onAttemptEnded(request.command(), attempt, CallOutcome.OK, now - attempt.sentAt());
+        telemetry.onAttemptEnded(request.command(), attempt, CallOutcome.OK, request.msAtEndpoint(attempt, now));
         StreamedResponse stream = request.isCompleted() ? null : requests.respondWithStream(request, length, source);
         // The response is kept even if the policy fails.
         reportEndToPolicy(request, attempt, now, EndpointPool.NO_LOAD);
@@ -147,7 +147,7 @@
                 request.id(),
                 attempt.number(),
                 attempt.outcome(),
-                now - attempt.sentAt(),
+                request.msAtEndpoint(attempt, now),
                 request.isCompleted(),
                 NO_ACTUAL_UNITS,
                 load));
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -54,8 +54,8 @@
      * {@inheritDoc}
      *
      * <p>The client's timeout starts when the last byte of its request arrives, not when that is read. Otherwise an
-     * endpoint would be given more time than the client has left. The rest of a large value is expected to arrive at
-     * the average rate so far.
+     * endpoint would be given more time than the client has left. A request of which a large value is still arriving
+     * has no deadline yet, see {@link ResponseDeadline}.
      */
     @Override
     public String acceptCommand(ResponseSlot slot, ArrayRedisMessage message, RequestBody body, double receivedAtMs) {
@@ -82,20 +82,23 @@
             reject(slot, command, body, FailureReason.MEMORY_SHORT);
             return null;
         }
-        double clientWaitMs = clientTimeoutMs + (body == null ? receivedAtMs - now : body.remainingMs(now));
-        double responseTimeMs = requests.responseTimeMs(now, clientWaitMs);
-        ResponseDeadline deadline = new ResponseDeadline(loop, now + clientWaitMs, now + responseTimeMs);
+        ResponseDeadline deadline =
+                requests.newDeadline(body == null ? () -> receivedAtMs : body::lastByteAtMs, clientTimeoutMs);
+        double responseTimeMs = deadline.dueAtMs() - now;
+        boolean arriving = body != null && !body.isComplete();
         ActiveRequest request =
                 new ActiveRequest(requests, attemptHandler, requests.nextId(), slot, message, command, body, deadline);
         requests.add(request);
         telemetry.onRequestAccepted(command, slot, responseTimeMs);
-        if (!policy.deliver(p -> p.onRequest(now, toIncomingRequest(request.id(), command, responseTimeMs)))) {
+        if (!policy.deliver(
+                p -> p.onRequest(now, toIncomingRequest(request.id(), command, responseTimeMs, arriving)))) {
             requests.failWithoutDecision(request);
         }
         return null;
     }
 
-    private static IncomingRequest toIncomingRequest(long id, ClientCommand command, double responseTimeMs) {
+    private static IncomingRequest toIncomingRequest(
+            long id, ClientCommand command, double responseTimeMs, boolean arriving) {
         return new IncomingRequest(
                 id,
                 command.requestClass(),
@@ -105,7 +108,8 @@
                 command.units(),
                 command.gatewayCount(),
                 command.firstGateway(),
-                command.retry());
+                command.retry(),
+                arriving);
     }
 
     private static boolean isValueDiscarded(ArrayRedisMessage message, RequestBody body) {
--- a/src/main/java/quotagateway/node/RequestTable.java
+++ b/src/main/java/quotagateway/node/RequestTable.java
@@ -6,6 +6,7 @@
 import io.netty.util.collection.LongObjectHashMap;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import quotagateway.lifecycle.RequestOutcome;
 import quotagateway.lifecycle.StreamEnd;
 import quotagateway.policy.api.CallOutcome;
@@ -103,11 +104,14 @@
     // ---- deadlines ----
 
     /**
-     * Returns the time (ms) from now within which a response is due to a client that waits for {@code clientWaitMs}; at
-     * least 1.
+     * Returns the deadline of a new request.
+     *
+     * @param lastByteAtMs when its last byte arrived, at the earliest (ms of the loop's clock)
+     * @param clientTimeoutMs how long from then (ms) the client waits
      */
-    double responseTimeMs(double now, double clientWaitMs) {
-        return Math.max(1, Math.min(clientWaitMs, responsesDueAtMs - now) - RESPONSE_MARGIN_MS);
+    ResponseDeadline newDeadline(DoubleSupplier lastByteAtMs, double clientTimeoutMs) {
+        return new ResponseDeadline(
+                loop, lastByteAtMs, clientTimeoutMs, RESPONSE_MARGIN_MS, responsesDueAtMs - RESPONSE_MARGIN_MS);
     }
 
     /** Whether the node shuts down and the time by which all responses were due has passed. */
--- a/src/main/java/quotagateway/policy/admission/AttemptSender.java
+++ b/src/main/java/quotagateway/policy/admission/AttemptSender.java
@@ -54,7 +54,9 @@
         request.customer().queue().onAttemptSent();
         traffic.onSend(request.classLatency().meanMs());
         limiter.onSend();
-        timers.schedule(clock.now() + lateThresholdMs(request), () -> checkIfLate(request));
+        if (!request.isArriving()) { // otherwise it is the client that takes its time
+            timers.schedule(clock.now() + lateThresholdMs(request), () -> checkIfLate(request));
+        }
         actions.sendAttempt(request.id(), endpoint.id(), 0);
     }
 
--- a/src/main/java/quotagateway/policy/admission/PendingRequest.java
+++ b/src/main/java/quotagateway/policy/admission/PendingRequest.java
@@ -17,7 +17,9 @@
     private final Customer customer;
     private final ClassLatency classLatency;
     private final AttemptHistory attempts;
-    private final double deadline;
+    /** When the client stops waiting, if nothing of the request is still to arrive. */
+    private final double earliestDeadline;
+
     private final double objectiveDeadline;
     private final double marginMs;
     private final long sequenceNumber;
@@ -45,8 +47,8 @@
         this.marginMs = marginMs;
         this.sequenceNumber = sequenceNumber;
         attempts = new AttemptHistory(classLatency.requestClass());
-        deadline = now + incoming.clientTimeout();
-        objectiveDeadline = Math.min(now + objectiveMs, deadline);
+        earliestDeadline = now + incoming.clientTimeout();
+        objectiveDeadline = Math.min(now + objectiveMs, earliestDeadline);
     }
 
     long id() {
@@ -73,9 +75,14 @@
         return sequenceNumber;
     }
 
-    /** Returns the time (ms) at which the client stops waiting. */
+    /** Whether more of the request was still to arrive when it was accepted, so that only the host knows its time. */
+    boolean isArriving() {
+        return incoming.arriving();
+    }
+
+    /** Returns the time (ms) at which the client stops waiting; unlimited if more of the request is still to arrive. */
     double deadline() {
-        return deadline;
+        return isArriving() ? Double.POSITIVE_INFINITY : earliestDeadline;
     }
 
     /** Returns the time (ms) until which a response earns its full worth, at most the deadline. */
@@ -90,14 +97,14 @@
 
     @Override
     public double arrivedAt() {
-        return deadline - incoming.clientTimeout();
+        return earliestDeadline - incoming.clientTimeout();
     }
 
     @Override
     public double latestStart() {
         return Math.min(
                 objectiveDeadline - MIN_MEAN_LATENCIES_LEFT * classLatency.meanMs(),
-                deadline - (1 - MAX_WAIT_FRACTION) * incoming.clientTimeout() - marginMs);
+                earliestDeadline - (1 - MAX_WAIT_FRACTION) * incoming.clientTimeout() - marginMs);
     }
 
     @Override
--- a/src/main/java/quotagateway/policy/admission/RequestDispatcher.java
+++ b/src/main/java/quotagateway/policy/admission/RequestDispatcher.java
@@ -73,7 +73,9 @@
         }
         request.customer().queue().remove(request);
         quota.spend(request.units());
-        timers.schedule(request.deadline(), () -> onDeadline(request));
+        if (!request.isArriving()) {
+            timers.schedule(request.deadline(), () -> onDeadline(request));
+        }
         sender.send(request, endpoint);
         return AdmissionQueue.SendResult.SENT;
     }
--- a/src/main/java/quotagateway/policy/api/IncomingRequest.java
+++ b/src/main/java/quotagateway/policy/api/IncomingRequest.java
@@ -12,6 +12,8 @@
  * @param gatewayCount how many gateways share the customer's traffic
  * @param firstGateway index of the first of those gateways; the others follow in order
  * @param retry whether the client marks the request as a retry
+ * @param arriving whether more of the request is still to arrive: its client's timeout starts only then, and the host
+ *     ends what is in flight at that time
  */
 public record IncomingRequest(
         long id,
@@ -22,4 +24,20 @@
         int units,
         int gatewayCount,
         int firstGateway,
-        boolean retry) {}
+        boolean retry,
+        boolean arriving) {
+
+    /** Creates a request that has arrived completely. */
+    public IncomingRequest(
+            long id,
+            String requestClass,
+            String plan,
+            String customer,
+            double clientTimeout,
+            int units,
+            int gatewayCount,
+            int firstGateway,
+            boolean retry) {
+        this(id, requestClass, plan, customer, clientTimeout, units, gatewayCount, firstGateway, retry, false);
+    }
+}
--- a/src/main/java/quotagateway/streaming/RequestBody.java
+++ b/src/main/java/quotagateway/streaming/RequestBody.java
@@ -24,13 +24,16 @@
     }
 
     private final int length;
-    private final double startedAtMs;
+    private final ArrivalTimes arrivalTimes;
     private final Runnable onReadingChanged;
     /** The first part of the body until an attempt takes it, in one buffer of about its size; null for none. */
     private ByteBuf buffer;
 
     private State state = State.BUFFERING;
-    private int receivedBytes;
+    /** Whether the last byte has arrived, which is that of the line end behind the value. */
+    private boolean complete;
+
+    private double completedAtMs;
     private RequestBodySink sink;
     private boolean sinkWritable = true;
 
@@ -38,13 +41,13 @@
      * Creates a body of which no part has arrived yet.
      *
      * @param length length of the complete body in bytes
-     * @param now current time of the loop's clock (ms)
+     * @param arrivalTimes those of the client's connection
      * @param onReadingChanged run whenever {@link #wantsMore} may have changed
      */
-    public RequestBody(int length, double now, Runnable onReadingChanged) {
+    public RequestBody(int length, ArrivalTimes arrivalTimes, Runnable onReadingChanged) {
         this.length = length;
+        this.arrivalTimes = arrivalTimes;
         this.onReadingChanged = onReadingChanged;
-        startedAtMs = now;
     }
 
     /** Returns the length of the complete body in bytes. */
@@ -52,16 +55,19 @@
         return length;
     }
 
-    /** Takes ownership of the next part that has arrived from the client. */
-    public void append(ByteBuf part) {
-        receivedBytes += part.readableBytes();
+    /** Takes ownership of the next part that has arrived from the client; the last one may be empty. */
+    public void append(ByteBuf part, boolean last) {
+        if (last) {
+            complete = true;
+            completedAtMs = arrivalTimes.receivedAtMs();
+        }
         switch (state) {
             case BUFFERING -> {
                 buffer(part);
                 onReadingChanged.run();
             }
             case FORWARDING -> {
-                sinkWritable = sink.write(part, isComplete());
+                sinkWritable = sink.write(part, last);
                 onReadingChanged.run();
             }
             case DISCARDING -> part.release();
@@ -85,7 +91,7 @@
 
     /** Returns whether the last byte has arrived from the client. */
     public boolean isComplete() {
-        return receivedBytes == length;
+        return complete;
     }
 
     /** Returns whether enough has arrived to choose an endpoint. */
@@ -102,9 +108,11 @@
         };
     }
 
-    /** Estimates the time (ms) until the rest has arrived, from the average rate so far. */
-    public double remainingMs(double now) {
-        return receivedBytes == 0 ? 0 : (now - startedAtMs) / receivedBytes * (length - receivedBytes);
+    /**
+     * Returns when the last byte arrived; before that, the earliest time at which it can have arrived unseen, or will.
+     */
+    public double lastByteAtMs() {
+        return complete ? completedAtMs : arrivalTimes.nextByteAtMs();
     }
 
     /** Returns whether no attempt can get the complete body any more, as one has taken it or it was discarded. */
@@ -121,7 +129,7 @@
         if (buffer != null) {
             ByteBuf firstPart = buffer;
             buffer = null;
-            sinkWritable = sink.write(firstPart, isComplete());
+            sinkWritable = sink.write(firstPart, complete);
         }
         onReadingChanged.run();
     }
--- a/src/main/java/quotagateway/upstream/EndpointConnection.java
+++ b/src/main/java/quotagateway/upstream/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.redis.ArrayHeaderRedisMessage;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
@@ -196,6 +197,10 @@
 
     /** Nobody waits for what is in flight any more. A reply to it is still owed, so the connection is closed. */
     void abandonAttempt() {
+        if (attempt.hasLargeBody()
+                && channel.isActive()) { // else the system goes on sending it, and the endpoint may begin with it
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         attempt = null;
         close(CloseReason.ATTEMPT_GIVEN_UP);
     }
--- a/src/test/java/quotagateway/client/ReadAheadTest.java
+++ b/src/test/java/quotagateway/client/ReadAheadTest.java
@@ -83,4 +83,27 @@
         assertTrue(budget.hasCapacity());
         assertFalse(channel.config().isAutoRead());
     }
+
+    /** Guards against a deadline that is too late: input that was not read may have arrived when reading was paused. */
+    @Test
+    void inputAfterAPauseCountsAsArrivedWhenThePauseBegan() {
+        assertEquals(loop.now(), readAhead.nextByteAtMs());
+        readAhead.holdBack();
+        double pausedAtMs = loop.now();
+        channel.writeInbound(bytes(Transport.readAheadBytes()));
+        loop.advance(1000);
+        assertEquals(pausedAtMs, readAhead.nextByteAtMs());
+        readAhead.resume();
+        channel.runPendingTasks();
+        ChannelHandlerContext context = channel.pipeline().context(readAhead);
+        loop.advance(500);
+        readAhead.channelRead(context, bytes(1)); // the socket is not empty yet
+        assertEquals(pausedAtMs, readAhead.nextByteAtMs());
+        channel.runPendingTasks();
+        readAhead.channelReadComplete(context);
+        channel.runPendingTasks();
+        loop.advance(500);
+        assertEquals(loop.now(), readAhead.nextByteAtMs());
+        channel.releaseInbound();
+    }
 }
--- a/src/test/java/quotagateway/node/LargeRequestTest.java
+++ b/src/test/java/quotagateway/node/LargeRequestTest.java
@@ -5,17 +5,30 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.SocketException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
 /** Requests with values above 64 KiB, which are streamed to an endpoint as they arrive. */
 class LargeRequestTest extends NodeFixture {
     private static final int LARGE_BYTES = 4 << 20;
     private static final int FIRST_BYTES = 100_000;
+    private static final int CLIENT_TIMEOUT_MS = 1000;
+    /** At the mean pace until then, the rest of the value would take over a minute. */
+    private static final int EARLY_PAUSE_MS = 250;
+    /** How late a response may be (ms): it only earns nothing then. */
+    private static final int MAX_LATE_MS = 550;
+
     private static final byte[] VALUE = new byte[LARGE_BYTES];
 
+    private final BlockingQueue<String> stated = new LinkedBlockingQueue<>();
+
     static {
         new Random(1).nextBytes(VALUE);
     }
@@ -142,6 +155,61 @@
         assertTrue(endpointConnection.awaitEnd());
     }
 
+    /**
+     * Guards against a deadline that an early pause of the client puts off (review/7): the endpoint is told at most
+     * the client's timeout, and if it hangs the client has its answer within that time of its last byte.
+     */
+    @Test
+    void earlyPauseDoesNotPutTheDeadlineOff() throws Exception {
+        start();
+        Peer.Connection client = connectClient();
+        sendCommandUpToValue(client, "01", commandList("write").replace("5000", "" + CLIENT_TIMEOUT_MS), LARGE_BYTES);
+        sendValueBytes(client, 0, 1000);
+        Thread.sleep(EARLY_PAUSE_MS);
+        Thread endpointReader = new Thread(() -> {
+            try {
+                stated.add(endpointConnection.readMessage().get(3));
+            } catch (Exception e) {
+                stated.add(e.toString());
+            }
+        });
+        endpointReader.start();
+        sendValueBytes(client, 1000, LARGE_BYTES);
+        client.write("\r\n");
+        double lastByteNanos = System.nanoTime();
+        assertEquals(List.of("-ERR failed"), client.readMessage());
+        double answeredAfterMs = (System.nanoTime() - lastByteNanos) / 1e6;
+        assertTrue(answeredAfterMs < CLIENT_TIMEOUT_MS + MAX_LATE_MS, answeredAfterMs + " ms");
+        endpointReader.join();
+        Matcher timeout = Pattern.compile(",d=(\\d+)").matcher(stated.poll());
+        assertTrue(timeout.find());
+        assertTrue(Integer.parseInt(timeout.group(1)) <= CLIENT_TIMEOUT_MS, timeout.group());
+    }
+
+    /**
+     * Guards against an attempt that begins after its client was answered (picture d of the review): what an endpoint
+     * that reads slowly has not taken of a value by then never reaches it.
+     */
+    @Test
+    void valueOfAnAbandonedAttemptNeverArrivesWhole() throws Exception {
+        start();
+        Peer.Connection client = connectClient();
+        sendCommandUpToValue(
+                client, "01", commandList("write").replace("5000", "" + CLIENT_TIMEOUT_MS), LARGE_BYTES / 8);
+        sendValueBytes(client, 0, LARGE_BYTES / 8);
+        client.write("\r\n");
+        assertEquals(List.of("-ERR failed"), client.readMessage());
+        int received = 0;
+        try {
+            while (endpointConnection.input.read() >= 0) {
+                received++;
+            }
+        } catch (SocketException reset) {
+            // the attempt was given up
+        }
+        assertTrue(received < LARGE_BYTES / 8, received + " bytes");
+    }
+
     /** The value of a command that is refused before the value has arrived is read and discarded. */
     @Test
     void malformedCommandsWithLargeValuesAreRefused() throws Exception {
--- a/src/test/java/quotagateway/policy/PolicyRulesTest.java
+++ b/src/test/java/quotagateway/policy/PolicyRulesTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import quotagateway.policy.api.CallOutcome;
 import quotagateway.policy.api.EndpointState;
+import quotagateway.policy.api.IncomingRequest;
 
 /** Checks the rules that the policy as a unit follows: responses, retries, slow start, send rate and hard limits. */
 class PolicyRulesTest {
@@ -277,4 +278,18 @@
             assertEquals(4, gateway.countActions("send") - before, "as many as a warm endpoint gets: " + outcome);
         }
     }
+
+    /** Guards against ending a request while its value still arrives: its time starts only then (review/7). */
+    @Test
+    void requestThatIsStillArrivingIsNotEndedAtItsClientsTimeout() {
+        PolicyHarness gateway = PolicyHarness.withoutCounter().start().listEndpoints(2);
+        gateway.request(1, "once", "big", "whole");
+        gateway.policy.onRequest(
+                gateway.now, new IncomingRequest(2, "once", "big", "arriving", 2000, 1, 2, 0, false, true));
+        gateway.advanceTo(60_000);
+        assertEquals(1, gateway.countActions("fail 1"));
+        assertEquals(0, gateway.countActions("fail 2"));
+        gateway.endAttempt(2, 0, CallOutcome.TIMEOUT); // by the host, at its time
+        assertEquals(1, gateway.countActions("fail 2"));
+    }
 }
