--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -42,6 +42,8 @@
     private final ClosingSequence closingSequence;
     private final OutputProgress outputProgress;
     private RespFrameTracker frameTracker;
+    /** Whether a command was complete, so that a response may be in transit. */
+    private boolean hadCommand;
 
     /**
      * Creates the handler of an accepted connection.
@@ -93,6 +95,7 @@
         }
         frameTracker.onMessageComplete((RedisMessage) msg);
         timer.stop();
+        hadCommand = true;
         listenerContext.connections().onCommand(this);
         ResponseSlot slot = responses.add();
         try {
@@ -261,8 +264,13 @@
             return;
         }
         closingSequence.startOutputShutdown(reason);
-        updateReading();
-        closingSequence.shutDownOutputAfterWrites();
+        readAhead.discardInput();
+        closingSequence.shutDownOutputAfterWrites(hadCommand);
+    }
+
+    /** Returns whether the connection only waits for its client to close its side. */
+    boolean isAwaitingClose() {
+        return closingSequence.isAwaitingClient();
     }
 
     /** Closes the connection for the node's shutdown, if it is between requests. */
@@ -309,7 +317,11 @@
         if (closingSequence.isReading()) {
             closingSequence.setReasonIfAbsent(CloseReason.MALFORMED);
             closingSequence.ignoreInput();
-            readAhead.shutDown(); // reading megabytes only to drop them costs as much CPU as a request
+            if (hadCommand) {
+                readAhead.discardInput();
+            } else {
+                readAhead.shutDown(); // reading megabytes only to drop them costs as much CPU as a request
+            }
             ResponseSlot error = responses.add();
             responses.failOpenRequests();
             error.respond(new ErrorRedisMessage("ERR " + errorText));
@@ -326,7 +338,12 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         listenerContext.connections().remove(this);
         requestHandler.onClientConnectionClosed(new NodeEvent.ClientConnectionClosed(
-                id, closingSequence.reason(), ageMs(), responses.commandCount(), responses.size()));
+                id,
+                closingSequence.reason(),
+                closingSequence.isClosedByNode(),
+                ageMs(),
+                responses.commandCount(),
+                responses.size()));
         abandonRequests();
         listenerContext.onConnectionClosed().run();
         loop.flush();
--- a/src/main/java/quotagateway/client/ClosingSequence.java
+++ b/src/main/java/quotagateway/client/ClosingSequence.java
@@ -7,15 +7,18 @@
 import quotagateway.lifecycle.CloseReason;
 
 /**
- * Closes a client's connection without losing what was written on it: input is ignored, the output is shut down after
- * the last response, and the socket is closed once the client has closed its side or the linger time is over. A close
- * with unread input would send a reset, which can make the client lose a response that is still in transit.
+ * Closes a client's connection without losing what was written on it, in this order: input is dropped, what is owed is
+ * written, the output is shut down, and the socket is closed when the client has closed its side. A close with unread
+ * input, or followed by more input, sends a reset, and what the client has not received by then is lost: the system may
+ * hold megabytes of it, and tells nobody when the client has them.
+ *
+ * <p>So no time ends the wait for the client, with one exception: a connection on which no command was complete gets a
+ * moment for its error line. Otherwise the connection gives way when others need its descriptor ({@link
+ * ConnectionTable}), and at the end of the process.
  */
 final class ClosingSequence {
-    /** Time (ms) that a client has to close its side after the gateway has shut down its output. */
-    private static final int LINGER_MS = 200;
-    /** Time (ms) without progress in sending the remaining output after which the connection is closed. */
-    private static final int UNREAD_TIMEOUT_MS = 2000;
+    /** Time (ms) that a client whose connection had no complete command has to close its side. */
+    private static final int NO_COMMAND_LINGER_MS = 200;
 
     /** The states in their order; no state is entered twice. */
     private enum State {
@@ -30,6 +33,8 @@
     private final DuplexChannel channel;
     private State state = State.READING;
     private CloseReason reason = CloseReason.CLOSED_BY_PEER;
+    private boolean outputShutDown;
+    private boolean closedByNode;
 
     ClosingSequence(DuplexChannel channel) {
         this.channel = channel;
@@ -61,39 +66,42 @@
         }
     }
 
-    /** Enters the last state; the caller then calls {@link #shutDownOutputAfterWrites()}. */
+    /** Enters the last state; the caller then calls {@link #shutDownOutputAfterWrites}. */
     void startOutputShutdown(CloseReason cause) {
         setReasonIfAbsent(cause);
         state = State.OUTPUT_SHUTTING_DOWN;
     }
 
     /**
-     * Shuts down the output once everything written has been sent. The completion of an empty write marks that point,
-     * as an immediate shutdown would drop output that a slow client has not read yet.
+     * Shuts down the output once everything written has been handed to the system. The completion of an empty write
+     * marks that point, as an immediate shutdown would drop output that a slow client has not read yet.
+     *
+     * @param hadCommand whether the connection had a complete command, so that responses may be in transit
      */
-    void shutDownOutputAfterWrites() {
-        closeIfStalled(Long.MAX_VALUE);
+    void shutDownOutputAfterWrites(boolean hadCommand) {
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
             channel.shutdownOutput();
-            channel.eventLoop().schedule(() -> closeNow(CloseReason.LINGER_OVER), LINGER_MS, TimeUnit.MILLISECONDS);
+            outputShutDown = true;
+            if (!hadCommand) {
+                channel.eventLoop()
+                        .schedule(() -> closeNow(CloseReason.LINGER_OVER), NO_COMMAND_LINGER_MS, TimeUnit.MILLISECONDS);
+            }
         });
     }
 
-    /**
-     * Closes the connection if the number of unsent bytes has not fallen since the previous check, which found {@code
-     * previousUnsent}; otherwise checks again after {@link #UNREAD_TIMEOUT_MS}, unless the connection has ended.
-     */
-    private void closeIfStalled(long previousUnsent) {
-        long unsent = unsentBytes();
-        if (unsent >= previousUnsent) {
-            closeNow(CloseReason.UNREAD);
-        } else if (channel.isActive()) {
-            channel.eventLoop().schedule(() -> closeIfStalled(unsent), UNREAD_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        }
+    /** Returns whether the output has been shut down and the client has not closed its side yet. */
+    boolean isAwaitingClient() {
+        return outputShutDown;
+    }
+
+    /** Returns whether this node has closed the socket, rather than the client. */
+    boolean isClosedByNode() {
+        return closedByNode;
     }
 
     void closeNow(CloseReason cause) {
         setReasonIfAbsent(cause);
+        closedByNode = true;
         channel.close();
     }
 
--- a/src/main/java/quotagateway/client/ConnectionTable.java
+++ b/src/main/java/quotagateway/client/ConnectionTable.java
@@ -138,7 +138,8 @@
      * Returns the connection to evict, or null if the limit is met or no connection may be evicted. The first choice is
      * the oldest connection that has had the time for a first command and has sent nothing. The second is the
      * connection that has been between requests for longest, whose client sees the close immediately. The last is the
-     * oldest connection with an incomplete first command, as that may be a valid request on a slow network.
+     * oldest connection with an incomplete first command, as that may be a valid request on a slow network. Before that
+     * comes one that only waits for its client to close its side.
      */
     private ClientConnection evictionCandidate() {
         if (openConnections.size() <= limit) {
@@ -159,6 +160,11 @@
                 return connection;
             }
         }
+        for (ClientConnection connection : openConnections) {
+            if (connection.isAwaitingClose()) {
+                return connection;
+            }
+        }
         return oldestWithPartialCommand;
     }
 
--- a/src/main/java/quotagateway/client/ReadAhead.java
+++ b/src/main/java/quotagateway/client/ReadAhead.java
@@ -23,6 +23,9 @@
     /** The bytes of one read, and when they arrived (ms of the loop's clock). */
     private record Chunk(ByteBuf buffer, double receivedAtMs) {}
 
+    /** Time (ms) between two rounds of reading input that is dropped. */
+    private static final double DISCARD_INTERVAL_MS = 20;
+
     /** The socket was read until it was empty, and has been read as input arrived since then. */
     private static final double NOTHING_UNREAD = Double.MAX_VALUE;
 
@@ -42,6 +45,7 @@
     private int bufferedBytes;
     private boolean heldBack;
     private boolean shutDown;
+    private boolean discarding;
     private boolean forwardScheduled;
 
     /**
@@ -86,7 +90,7 @@
     /** Forwards nothing until {@link #resume()} is called. */
     void holdBack() {
         heldBack = true;
-        if (!shutDown) {
+        if (!shutDown && !discarding) {
             updateAutoRead();
         }
     }
@@ -94,7 +98,7 @@
     /** Forwards the buffered input in a later iteration of the event loop, and then input as it is read. */
     void resume() {
         heldBack = false;
-        if (!shutDown) {
+        if (!shutDown && !discarding) {
             scheduleForward();
             updateAutoRead();
         }
@@ -103,15 +107,37 @@
     /** Drops the buffered input and stops reading. */
     void shutDown() {
         shutDown = true;
+        dropBuffered();
+        updateAutoRead();
+    }
+
+    /**
+     * Drops the buffered input, and goes on to read and drop, so that the end of the connection is seen and no input is
+     * left unread. The pace is limited, as a client may send without end.
+     */
+    void discardInput() {
+        if (!shutDown) {
+            discarding = true;
+            dropBuffered();
+            readToDiscard();
+        }
+    }
+
+    private void readToDiscard() {
+        if (context.channel().isActive()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void dropBuffered() {
         chunks.forEach(chunk -> chunk.buffer().release());
         chunks.clear();
         addBuffered(-bufferedBytes);
-        updateAutoRead();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
-        if (shutDown) {
+        if (shutDown || discarding) {
             ReferenceCountUtil.release(msg);
             return;
         }
@@ -136,6 +162,11 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (discarding && !shutDown) {
+            ctx.channel().config().setAutoRead(false);
+            loop.schedule(DISCARD_INTERVAL_MS, this::readToDiscard);
+            return;
+        }
         if (ctx.channel().config().isAutoRead() && isSocketEmpty(ctx.channel())) {
             unreadSinceMs = NOTHING_UNREAD;
         }
@@ -181,6 +212,9 @@
 
     /** Reads or pauses as the limits require; the budget also calls this for connections that it has paused. */
     void updateAutoRead() {
+        if (discarding && !shutDown) {
+            return;
+        }
         boolean belowConnectionLimit = bufferedBytes < maxBytes;
         boolean belowSharedLimit = !heldBack || budget.hasCapacity();
         boolean autoRead = !shutDown && belowConnectionLimit && belowSharedLimit;
--- a/src/main/java/quotagateway/log/NodeEvent.java
+++ b/src/main/java/quotagateway/log/NodeEvent.java
@@ -119,13 +119,18 @@
         }
     }
 
-    /** A client's connection has ended, with this number of unanswered commands. */
-    record ClientConnectionClosed(long connection, CloseReason reason, double ageMs, int commands, int unanswered)
+    /**
+     * A client's connection has ended, with this number of unanswered commands. The reason is why it was to end; the
+     * socket was closed by this node, or by the client, which then has received everything.
+     */
+    record ClientConnectionClosed(
+            long connection, CloseReason reason, boolean closedByNode, double ageMs, int commands, int unanswered)
             implements NodeEvent {
         @Override
         public String text() {
             return "client_connection_closed connection=" + connection + " reason=" + reason + " age_ms="
-                    + Math.round(ageMs) + " commands=" + commands + " unanswered=" + unanswered;
+                    + Math.round(ageMs) + " commands=" + commands + " unanswered=" + unanswered + " closed_by="
+                    + (closedByNode ? "NODE" : "CLIENT");
         }
     }
 
--- a/src/main/java/quotagateway/node/GracefulShutdown.java
+++ b/src/main/java/quotagateway/node/GracefulShutdown.java
@@ -19,8 +19,8 @@
     /** How long (ms) this process keeps listening if no other process listens. */
     private static final double STOP_LISTENING_AFTER_MS = 600;
     /**
-     * The longest time (ms) after all responses were due for which slow readers can delay the end. SIGKILL usually
-     * comes long before; if it does not, the process must not stay forever.
+     * The longest time (ms) after all responses were due for which streamed responses can delay the end. SIGKILL
+     * usually comes long before; if it does not, the process must not stay forever.
      */
     private static final double FORCED_END_AFTER_MS = 30_000;
     /** How often (ms) the node checks whether it may end. */
@@ -39,6 +39,7 @@
     private final NodeTelemetry telemetry;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private double responsesDueAtMs;
+    private double earliestKillAtMs;
     private double nextCheckDueAtMs;
 
     GracefulShutdown(
@@ -69,10 +70,12 @@
 
     /** Begins the shutdown; called once, at the time of the signal and not on the event loop. */
     void begin() {
-        double dueAtMs = loop.now() + ShutdownDeadline.responsesDueInMs(settings);
+        double signalAtMs = loop.now();
+        double dueAtMs = signalAtMs + ShutdownDeadline.responsesDueInMs(settings);
         boolean hasSuccessor = handover.hasSuccessor();
         loop.execute(() -> {
             responsesDueAtMs = dueAtMs;
+            earliestKillAtMs = signalAtMs + ShutdownDeadline.earliestKillMs(settings);
             telemetry.writeImmediately();
             state.startDraining(dueAtMs - loop.now());
             if (!clients.hasListened()) {
@@ -117,16 +120,17 @@
     }
 
     /**
-     * Ends the node if no response is owed. Once responses are due, all have been given and connections are closed; the
-     * node waits, within limits, for slow clients to read theirs.
+     * Ends the node if no response is owed and all clients have closed their connections, which tells that they have
+     * read their responses. From the earliest SIGKILL on only streamed responses that have not ended delay the end.
      */
     private void endIfIdle() {
         double lateMs = loop.now() - nextCheckDueAtMs;
         if (lateMs > LATE_CHECK_THRESHOLD_MS) {
             telemetry.record(new NodeEvent.EventLoopLate(lateMs));
         }
+        boolean mayLeaveClients = clients.isIdle() || loop.now() >= earliestKillAtMs;
         boolean forced = loop.now() >= responsesDueAtMs + FORCED_END_AFTER_MS;
-        if (guard.mayEnd(clients.isIdle(), requests.openCount(), forced)) {
+        if (guard.mayEnd(mayLeaveClients, requests.openCount(), forced)) {
             end();
             return;
         }
--- a/src/main/java/quotagateway/node/LifecycleGuard.java
+++ b/src/main/java/quotagateway/node/LifecycleGuard.java
@@ -82,13 +82,17 @@
         return state.isBeforeDraining();
     }
 
-    /** Whether the process may end now; a forced end is allowed even if it violates an invariant. */
-    boolean mayEnd(boolean clientsIdle, int openRequests, boolean forced) {
+    /**
+     * Whether the process may end now; a forced end is allowed even if it violates an invariant.
+     *
+     * @param mayLeaveClients whether no client's connection has to be waited for any more
+     */
+    boolean mayEnd(boolean mayLeaveClients, int openRequests, boolean forced) {
         boolean hasOpenRequests = openRequests > 0;
         if (forced && hasOpenRequests) {
             listener.onViolated(Invariant.ENDED_OWING_NOTHING, null);
         }
-        return forced || (clientsIdle && !hasOpenRequests);
+        return forced || (mayLeaveClients && !hasOpenRequests);
     }
 
     // ---- requests ----
--- a/src/main/java/quotagateway/streaming/StreamedResponse.java
+++ b/src/main/java/quotagateway/streaming/StreamedResponse.java
@@ -196,11 +196,8 @@
         if (!last) {
             client.write(new DefaultBulkStringRedisContent(part), client.voidPromise());
         } else {
-            client.write(new DefaultLastBulkStringRedisContent(part)).addListener(written -> {
-                if (written.isSuccess()) {
-                    end(StreamEnd.COMPLETE);
-                }
-            });
+            client.write(new DefaultLastBulkStringRedisContent(part))
+                    .addListener(written -> end(written.isSuccess() ? StreamEnd.COMPLETE : StreamEnd.CLIENT_GONE));
             sink.onStreamCompleted();
         }
         loop.flushLater(client);
--- a/src/test/java/quotagateway/client/ClientConnectionTest.java
+++ b/src/test/java/quotagateway/client/ClientConnectionTest.java
@@ -14,7 +14,8 @@
     private static final int LARGE_BODY_BYTES = RespCodec.MAX_BUFFERED_VALUE_BYTES + 1000;
     private static final String LARGE_REQUEST =
             "*5\r\n$9\r\nCALL.POST\r\n$1\r\nc\r\n$1\r\ni\r\n$1\r\na\r\n$" + LARGE_BODY_BYTES + "\r\n";
-    private static final int LINGER_MS = 200;
+    private static final int NO_COMMAND_LINGER_MS = 200;
+    private static final int LONG_MS = 3_600_000;
 
     private final ClientConnectionFixture clients = new ClientConnectionFixture(10);
     private final EmbeddedDuplexChannel channel = clients.connect();
@@ -49,11 +50,62 @@
         assertEquals("-ERR failed\r\n-ERR malformed\r\n", channel.sent());
         assertTrue(channel.isOutputShutdown());
         assertTrue(channel.isOpen());
-        channel.advance(LINGER_MS);
+        channel.receive(ClientConnectionFixture.REQUEST);
+        channel.close();
+        assertEquals(1, clients.requests.size());
+        assertEquals(List.of(CloseReason.MALFORMED), clients.closed);
+    }
+
+    @Test
+    void connectionWithoutACommandIsClosedSoonAfterItsErrorLine() {
+        channel.receive("*4\r\n$99999999\r\n");
+        assertEquals("-ERR malformed\r\n", channel.sent());
+        assertTrue(channel.isOutputShutdown());
+        assertTrue(channel.isOpen());
+        channel.advance(NO_COMMAND_LINGER_MS);
         assertFalse(channel.isOpen());
         assertEquals(List.of(CloseReason.MALFORMED), clients.closed);
     }
 
+    /**
+     * Guards against a reset under a value that the client still reads while it sends on (review/8): however long that
+     * takes, its socket is not closed before the client's side, and its input is read and dropped.
+     */
+    @Test
+    void closedConnectionIsReadUntilItsClientCloses() {
+        channel.receive(ClientConnectionFixture.REQUEST);
+        clients.requests.get(0).fail("failed");
+        channel.sent();
+        clients.table.closeIdle();
+        clients.loop.advance(10);
+        assertTrue(channel.isOutputShutdown());
+        for (int i = 0; i < 10; i++) {
+            channel.advance(LONG_MS);
+            clients.loop.advance(LONG_MS);
+            assertTrue(channel.config().isAutoRead());
+            channel.receive(ClientConnectionFixture.REQUEST);
+        }
+        assertTrue(channel.isOpen());
+        assertEquals(1, clients.requests.size());
+        channel.close();
+        assertEquals(List.of(CloseReason.SHUTDOWN_IDLE), clients.closed);
+    }
+
+    /** Guards against cutting off output that the system takes slowly, or not for a while, behind the last response. */
+    @Test
+    void unsentOutputIsNotCutOffWhenTheConnectionCloses() {
+        channel.receive(ClientConnectionFixture.REQUEST);
+        clients.table.closeAfterResponses();
+        channel.blockOutput(true);
+        clients.requests.get(0).fail("failed");
+        channel.advance(LONG_MS);
+        assertTrue(channel.isOpen());
+        assertFalse(channel.isOutputShutdown());
+        channel.blockOutput(false);
+        assertEquals("-ERR failed\r\n", channel.sent());
+        assertTrue(channel.isOutputShutdown());
+    }
+
     /** A large body is dropped as it arrives, and its command is submitted without it, to be rejected. */
     @Test
     void largeBodyWithoutMemoryIsDropped() {
--- a/src/test/java/quotagateway/client/ConnectionTableTest.java
+++ b/src/test/java/quotagateway/client/ConnectionTableTest.java
@@ -70,6 +70,28 @@
         assertTrue(clients.closed.contains(CloseReason.EVICTED));
     }
 
+    /** Guards against outages by clients that never close their side: theirs give way behind an idle connection. */
+    @Test
+    void connectionThatAwaitsItsClientsCloseGivesWayAtTheLimit() {
+        EmbeddedDuplexChannel malformed = connectAndSend(PING + "*4\r\n$99999999\r\n");
+        EmbeddedDuplexChannel idle = connectAndSend(PING);
+        EmbeddedDuplexChannel partial = connectAndSend("*4\r\n");
+        clients.loop.advance(EVICTABLE_AFTER_MS + 1);
+        clients.table.setLimit(2);
+        clients.table.evictBeyondLimit();
+        assertTrue(idle.isOutputShutdown());
+        assertTrue(malformed.isOpen());
+        idle.close();
+        clients.table.setLimit(1);
+        clients.table.evictBeyondLimit();
+        assertTrue(clients.table.hasCapacity());
+        assertTrue(malformed.isOpen()); // evicted: closed once others are evicted after it
+        clients.table.setLimit(0);
+        clients.table.evictBeyondLimit();
+        assertFalse(malformed.isOpen());
+        assertTrue(partial.isOutputShutdown());
+    }
+
     /** Guards against outages by clients that never read: at the limit the one that is blocked longest is closed. */
     @Test
     void longestBlockedConnectionIsClosedAtTheLimitOnly() {
--- a/src/test/java/quotagateway/log/EventLogTest.java
+++ b/src/test/java/quotagateway/log/EventLogTest.java
@@ -39,7 +39,7 @@
         log.record(1002, new NodeEvent.AttemptSent("01", 1, "s0", CallOutcome.RESET));
         log.record(1003, new NodeEvent.AttemptEnded("01", 1, "s0", CallOutcome.TIMEOUT, 12.4));
         log.record(1004, new NodeEvent.RequestCompleted("01", RequestOutcome.FAULTED, FailureReason.DEADLINE));
-        log.record(1005, new NodeEvent.ClientConnectionClosed(7, CloseReason.SHUTDOWN_ANSWERED, 360, 3, 0));
+        log.record(1005, new NodeEvent.ClientConnectionClosed(7, CloseReason.SHUTDOWN_ANSWERED, false, 360, 3, 0));
         log.record(1006, new NodeEvent.EndpointConnectionClosed("s0", CloseReason.ATTEMPT_GIVEN_UP));
         assertEquals(
                 List.of(
@@ -50,7 +50,7 @@
                         "t=1003 attempt_ended request=01 attempt=1 endpoint=s0 outcome=TIMEOUT took_ms=12",
                         "t=1004 request_completed request=01 outcome=FAULTED reason=DEADLINE",
                         "t=1005 client_connection_closed connection=7 reason=SHUTDOWN_ANSWERED"
-                                + " age_ms=360 commands=3 unanswered=0",
+                                + " age_ms=360 commands=3 unanswered=0 closed_by=CLIENT",
                         "t=1006 endpoint_connection_closed endpoint=s0 reason=ATTEMPT_GIVEN_UP"),
                 lines());
     }
--- a/src/test/java/quotagateway/node/ListenerLifecycleTest.java
+++ b/src/test/java/quotagateway/node/ListenerLifecycleTest.java
@@ -25,6 +25,9 @@
 
 /** The listener at start and shutdown: a client that connects during bind, and clients during a shutdown. */
 class ListenerLifecycleTest extends NodeFixture {
+    /** With the longest deadline of the fixture's classes, 2 s. */
+    private static final double EARLIEST_KILL_MS = 2700;
+
     private static final double OUTPUT_BLOCKED_TIMEOUT_MS = 15_000;
 
     /** After SIGTERM clients can connect for a while; all requests are answered before the node ends. */
@@ -153,4 +156,19 @@
         client.close();
         draining.join();
     }
+
+    /** Guards against a restart held up by a client that never closes its side of a connection that has ended. */
+    @Test
+    void clientThatNeverClosesDoesNotHoldTheProcessBeyondTheEarliestKill() throws Exception {
+        start();
+        Peer.Connection client = connectClient();
+        client.sendCommand("PING");
+        assertEquals(List.of("+PONG"), client.readMessage());
+        drained = true;
+        double startNanos = System.nanoTime();
+        node.drain();
+        double tookMs = (System.nanoTime() - startNanos) / 1e6;
+        assertTrue(client.awaitEnd());
+        assertTrue(tookMs >= EARLIEST_KILL_MS, tookMs + " ms");
+    }
 }
--- a/src/test/java/quotagateway/streaming/StreamedResponseTest.java
+++ b/src/test/java/quotagateway/streaming/StreamedResponseTest.java
@@ -133,6 +133,15 @@
         stream.updateReading();
     }
 
+    /** Guards against a process that never ends, as a stream whose last part could not be written counts as open. */
+    @Test
+    void streamEndsIfItsLastPartCanNotBeWritten() {
+        stream.startWriting(client);
+        stream.append(bytes("abcdef"), true);
+        client.close(); // before the part is flushed
+        assertEquals(List.of("completed", "ended CLIENT_GONE"), events);
+    }
+
     @Test
     void clientDisconnectStopsTheSourceWithoutAnOutcome() {
         stream.append(bytes("abc"), false);
