--- a/src/main/java/quotagateway/client/ReadAhead.java
+++ b/src/main/java/quotagateway/client/ReadAhead.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import quotagateway.streaming.ArrivalTimes;
 import quotagateway.transport.EventLoopContext;
 import quotagateway.transport.SocketAge;
@@ -17,12 +18,15 @@
  * shared by all connections.
  *
  * <p>Input is forwarded in a later iteration of the event loop than the one in which it was read. If the connection
- * ends directly after the input, the end is known by then and the input is discarded.
+ * ends directly after the input, the end is known by then and the input is discarded. One read's input is forwarded in
+ * an iteration, so that a connection that sends without end takes no more than its turn from the others.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter implements ArrivalTimes {
     /** The bytes of one read, and when they arrived (ms of the loop's clock). */
     private record Chunk(ByteBuf buffer, double receivedAtMs) {}
 
+    /** Delay (ms) that lets the loop read all other connections first; a task without delay could run before them. */
+    private static final int NEXT_ITERATION_MS = 0;
     /** Time (ms) between two rounds of reading input that is dropped. */
     private static final double DISCARD_INTERVAL_MS = 20;
 
@@ -182,7 +186,7 @@
     private void scheduleForward() {
         if (!heldBack && !forwardScheduled && !chunks.isEmpty()) {
             forwardScheduled = true;
-            context.executor().execute(this::forwardBuffered);
+            context.executor().schedule(this::forwardBuffered, NEXT_ITERATION_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -191,18 +195,15 @@
         if (!context.channel().isActive()) {
             return; // closed in the previous iteration, by either side: channelInactive follows
         }
-        boolean forwarded = false;
-        while (!heldBack && !chunks.isEmpty()) { // forwarding may lead to holdBack or shutDown
+        if (!heldBack && !chunks.isEmpty()) {
             Chunk chunk = chunks.poll();
             addBuffered(-chunk.buffer().capacity());
-            forwarded = true;
             receivedAtMs = chunk.receivedAtMs();
-            context.fireChannelRead(chunk.buffer());
-        }
-        if (forwarded) {
+            context.fireChannelRead(chunk.buffer()); // may lead to holdBack or shutDown
             context.fireChannelReadComplete();
         }
         updateAutoRead();
+        scheduleForward();
     }
 
     private void addBuffered(int bytes) {
--- a/src/main/java/quotagateway/policy/admission/RequestIntake.java
+++ b/src/main/java/quotagateway/policy/admission/RequestIntake.java
@@ -61,6 +61,10 @@
             return;
         }
         Customer customer = customers.findOrCreate(incoming, plan);
+        if (customer == null) {
+            actions.reject(incoming.id(), 0, FailureReason.QUOTA_SHORT);
+            return;
+        }
         customer.queue().onArrival(clock.now());
         customer.quota().onRequest(incoming.units());
         traffic.onRequest();
--- a/src/main/java/quotagateway/policy/quota/CustomerQuota.java
+++ b/src/main/java/quotagateway/policy/quota/CustomerQuota.java
@@ -216,8 +216,12 @@
 
     /** Returns whether no request waits, is open or is expected, and no counter exchange is open. */
     boolean isIdle() {
-        return demandEstimator.isIdle()
-                && demand.isEmpty()
+        return demandEstimator.isIdle() && hasNothingOpen();
+    }
+
+    /** Returns whether no request waits or is open, and no counter exchange is open. */
+    public boolean hasNothingOpen() {
+        return demand.isEmpty()
                 && demand.attemptsInFlight() == 0
                 && !counter.isExchangeOpen()
                 && (concurrencyQuota == null || concurrencyQuota.holdsNoSlot());
--- a/src/main/java/quotagateway/policy/quota/QuotaResplit.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaResplit.java
@@ -24,6 +24,11 @@
         active.add(quota);
     }
 
+    /** Takes a customer that is evicted out of the re-split. */
+    public void deactivate(CustomerQuota quota) {
+        active.remove(quota);
+    }
+
     public boolean isActive(CustomerQuota quota) {
         return active.contains(quota);
     }
@@ -46,7 +51,10 @@
     /** Claims units for the customers that are short, in turn, while calls may be made. */
     public void claimAhead() {
         while (!waitingForClaim.isEmpty() && calls.mayCall()) {
-            waitingForClaim.poll().claimAhead();
+            CustomerQuota quota = waitingForClaim.poll();
+            if (active.contains(quota)) {
+                quota.claimAhead();
+            }
         }
     }
 }
--- a/src/test/java/quotagateway/client/ReadAheadTest.java
+++ b/src/test/java/quotagateway/client/ReadAheadTest.java
@@ -7,7 +7,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.Test;
 import quotagateway.transport.ManualEventLoop;
 import quotagateway.transport.Transport;
@@ -48,6 +50,7 @@
         assertTrue(channel.inboundMessages().isEmpty());
         readAhead.resume();
         channel.runPendingTasks();
+        channel.runPendingTasks(); // a read a turn
         assertTrue(channel.config().isAutoRead());
         assertEquals(2, channel.inboundMessages().size());
         channel.releaseInbound();
@@ -106,4 +109,27 @@
         assertEquals(loop.now(), readAhead.nextByteAtMs());
         channel.releaseInbound();
     }
+
+    /** Guards against a client that sends without end and keeps others waiting (picture b): it gets a read a turn. */
+    @Test
+    void otherTasksRunBetweenTheReadsOfAConnection() {
+        StringBuilder order = new StringBuilder();
+        channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object msg) {
+                ReferenceCountUtil.release(msg);
+                order.append("read ");
+                ctx.executor().execute(() -> order.append("other "));
+            }
+        });
+        ChannelHandlerContext context = channel.pipeline().context(readAhead);
+        for (int i = 0; i < 3; i++) {
+            readAhead.channelRead(context, bytes(10));
+        }
+        readAhead.channelReadComplete(context);
+        for (int turn = 0; turn < 4; turn++) {
+            channel.runPendingTasks();
+        }
+        assertEquals("read other read other read other ", order.toString());
+    }
 }
--- a/src/test/java/quotagateway/policy/PolicyRulesTest.java
+++ b/src/test/java/quotagateway/policy/PolicyRulesTest.java
@@ -13,6 +13,8 @@
 
 /** Checks the rules that the policy as a unit follows: responses, retries, slow start, send rate and hard limits. */
 class PolicyRulesTest {
+    private static final int MAX_CUSTOMERS = 8192;
+
     @Test
     void everyRequestGetsOneResponseByItsDeadline() {
         PolicyHarness gateway = PolicyHarness.withoutCounter().start().listEndpoints(2);
@@ -292,4 +294,29 @@
         gateway.endAttempt(2, 0, CallOutcome.TIMEOUT); // by the host, at its time
         assertEquals(1, gateway.countActions("fail 2"));
     }
+
+    /**
+     * Guards against memory that grows with the names that clients choose (picture b): the number of customers is
+     * limited, and a request of another one is rejected while all of them have open requests.
+     */
+    @Test
+    void customersBeyondTheLimitAreRejectedOnlyWhileAllHaveOpenRequests() {
+        PolicyHarness gateway = PolicyHarness.withoutCounter().start().listEndpoints(2);
+        for (int i = 0; i < MAX_CUSTOMERS; i++) {
+            gateway.request(i, "read", "rate", "open " + i);
+        }
+        assertEquals(0, gateway.countActions("refuse"));
+        gateway.request(MAX_CUSTOMERS, "read", "rate", "one more");
+        assertEquals(1, gateway.countActions("refuse " + MAX_CUSTOMERS));
+        gateway.advanceTo(5000); // all have ended, one way or another
+        for (int i = 0; i < MAX_CUSTOMERS; i++) {
+            gateway.endAttempt(i, 0, CallOutcome.OK);
+        }
+        long refused = gateway.countActions("refuse");
+        for (int i = 1; i <= MAX_CUSTOMERS; i++) {
+            gateway.request(2 * MAX_CUSTOMERS + i, "read", "big", "new " + i);
+            gateway.endAttempt(2 * MAX_CUSTOMERS + i, 0, CallOutcome.OK);
+        }
+        assertTrue(gateway.countActions("refuse") - refused < MAX_CUSTOMERS / 2);
+    }
 }
