--- a/src/main/java/quotagateway/node/ActiveRequest.java
+++ b/src/main/java/quotagateway/node/ActiveRequest.java
@@ -160,6 +160,11 @@
         attemptsInFlight++;
     }
 
+    /** Whether an endpoint may have executed the request. Called once all attempts have ended. */
+    boolean mayHaveBeenExecuted() {
+        return attempts.stream().anyMatch(attempt -> attempt.outcome() != null && !attempt.outcome().provesNotExecuted);
+    }
+
     void onAttemptFinished() {
         attemptsInFlight--;
     }
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -74,6 +74,9 @@
         if (requests.hasClientId(command.id())) {
             return "a request of this id is open"; // endpoints could not distinguish the two
         }
+        if (requests.mayHaveExecuted(command.id())) {
+            return "a request of this id may have been executed";
+        }
         if (requests.isPastShutdownDeadline(now)) { // the process may be killed at any time, and the request be lost
             reject(slot, command, body, FailureReason.SHUTDOWN);
             return null;
--- a/src/main/java/quotagateway/node/LifecycleGuard.java
+++ b/src/main/java/quotagateway/node/LifecycleGuard.java
@@ -187,6 +187,12 @@
         return leavesScope ? Optional.of(SendDenial.OTHER_GROUP) : Optional.empty();
     }
 
+    /** Whether the requests of a class must not be executed twice, whatever key they have. */
+    boolean isExecutedOnce(String requestClass) {
+        RequestClass found = requestClasses.get(requestClass);
+        return found == null || found.idempotency() == Idempotency.NON_IDEMPOTENT;
+    }
+
     /** Whether two endpoints recognize each other's idempotency keys; false if an endpoint is unknown. */
     private static boolean inSameScope(RetryScope scope, EndpointDescriptor first, EndpointDescriptor second) {
         if (first == null || second == null) {
--- a/src/main/java/quotagateway/node/RequestTable.java
+++ b/src/main/java/quotagateway/node/RequestTable.java
@@ -41,6 +41,7 @@
     private final StreamFactory streamFactory;
     private final LongObjectHashMap<ActiveRequest> requestsById = new LongObjectHashMap<>();
     private final Set<String> clientIds = new HashSet<>();
+    private final ExecutedRequestIds executedIds = new ExecutedRequestIds();
     private final Set<StreamedResponse> openStreams = new HashSet<>();
     private long lastId;
     /**
@@ -91,6 +92,11 @@
         return clientIds.contains(clientId);
     }
 
+    /** Whether a request with this client id has ended that may have been executed and must not be executed twice. */
+    boolean mayHaveExecuted(String clientId) {
+        return executedIds.contains(clientId);
+    }
+
     /** Returns the number of requests that are owed a response, or the rest of a streamed one. */
     int openCount() {
         return openCount;
@@ -248,6 +254,9 @@
         if (request.isFinished() && requestsById.remove(request.id()) != null) {
             request.release();
             clientIds.remove(request.clientId());
+            if (guard.isExecutedOnce(request.command().requestClass()) && request.mayHaveBeenExecuted()) {
+                executedIds.add(request.clientId());
+            }
         }
     }
 }
--- a/src/test/java/quotagateway/node/ClientDisconnectTest.java
+++ b/src/test/java/quotagateway/node/ClientDisconnectTest.java
@@ -209,4 +209,27 @@
         }
         assertNull(policyEvents.poll());
     }
+
+    /**
+     * Guards against a request that runs twice as it comes again after its client has left (picture c of the review):
+     * endpoints don't recognize the id of a request that must be executed once.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void requestThatMayHaveBeenExecutedIsNotSentAgainUnderItsId(boolean epoll) throws Exception {
+        start(epoll);
+        Peer.Connection client = connectClient();
+        sendGet(client, "01", "once", UNREACHED_TIMEOUT_MS);
+        expectRequest(1, "once");
+        assertEquals("01", endpointConnection.readMessage().get(2));
+        client.close();
+        expectEvent("gone 1");
+        endpointConnection.sendValue("done");
+        expectEvent("ended 1 0 OK true");
+        Peer.Connection again = connectClient();
+        sendGet(again, "01", "once", UNREACHED_TIMEOUT_MS);
+        assertEquals(List.of("-ERR a request of this id may have been executed"), again.readMessage());
+        sendGet(again, "02", "once", UNREACHED_TIMEOUT_MS);
+        expectRequest(2, "once");
+    }
 }
