--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -25,8 +25,6 @@
  * is evicted, or when the node shuts down.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** Unanswered commands at which reading is paused; it resumes as responses are written. */
-    private static final int MAX_PIPELINED_COMMANDS = 256;
     /** More arguments than any command has, so that a command with too many of them still gets its own error. */
     private static final int MAX_ARGUMENTS = 16;
 
@@ -41,6 +39,7 @@
     private final ResponseQueue responses;
     private final ClosingSequence closingSequence;
     private final OutputProgress outputProgress;
+    private final FlowControl flowControl;
     private RespFrameTracker frameTracker;
     /** Whether a command was complete, so that a response may be in transit. */
     private boolean hadCommand;
@@ -59,12 +58,13 @@
         this.listenerContext = listenerContext;
         loop = listenerContext.loop();
         requestHandler = listenerContext.requestHandler();
-        readAhead = new ReadAhead(loop, listenerContext.readAheadBudget(), maxQueueWaitMs);
+        readAhead = new ReadAhead(loop, listenerContext.readAheadBudget(), maxQueueWaitMs, this::updateReading);
         timer = new CommandTimer(loop);
         largeBody = new LargeBodyReceiver(this, requestHandler, timer, readAhead);
         responses = new ResponseQueue(this, channel, loop);
         closingSequence = new ClosingSequence(channel);
         outputProgress = new OutputProgress(loop);
+        flowControl = new FlowControl(channel, readAhead, largeBody, responses, closingSequence, timer, requestHandler);
     }
 
     /** Adds the connection's handlers to its channel; called once, before anything is read. */
@@ -99,6 +99,13 @@
         timer.stop();
         hadCommand = true;
         listenerContext.connections().onCommand(this);
+        if (flowControl.isRefusing() && isRequest(msg)) {
+            responses.addRefusal();
+            requestHandler.onRequestRefused();
+            ReferenceCountUtil.release(msg);
+            updateReading();
+            return;
+        }
         ResponseSlot slot = responses.add();
         try {
             if (msg instanceof ArrayRedisMessage command
@@ -114,6 +121,13 @@
         updateReading();
     }
 
+    private static boolean isRequest(Object msg) {
+        return msg instanceof ArrayRedisMessage command
+                && command != ArrayRedisMessage.NULL_INSTANCE
+                && !command.children().isEmpty()
+                && ClientCommand.isRequestVerb(RespCodec.text(command.children().get(0)));
+    }
+
     private void handleCommand(ResponseSlot slot, ArrayRedisMessage command) {
         String verb = RespCodec.text(command.children().get(0));
         if (ClientCommand.isRequestVerb(verb)) {
@@ -154,28 +168,9 @@
 
     // ---- flow control and responses ----
 
-    /**
-     * Holds commands back while too many are unanswered, the client has too much output to read, a streamed response is
-     * being written, or the buffers of all requests are full; resumes otherwise. Behind a stream that breaks off no
-     * response can follow, so no command is executed whose response would have to.
-     */
+    /** Holds commands back or resumes, see {@link FlowControl}. */
     void updateReading() {
-        boolean read = !closingSequence.isReading() || hasCapacity();
-        if (read && readAhead.isHeldBack()) {
-            readAhead.resume();
-            if (largeBody.isReceiving()) {
-                timer.restart(); // the delay was the gateway's, which had paused reading
-            }
-        } else if (!read && !readAhead.isHeldBack()) {
-            readAhead.holdBack();
-        }
-    }
-
-    private boolean hasCapacity() {
-        boolean mayAcceptMore = largeBody.isReceiving()
-                ? largeBody.wantsMore()
-                : !requestHandler.isMemoryExhausted() && !responses.isWritingStream();
-        return responses.size() < MAX_PIPELINED_COMMANDS && channel.isWritable() && mayAcceptMore;
+        flowControl.update();
     }
 
     /** Writes the responses that are ready, and closes a connection that is to end after its last response. */
--- a/src/main/java/quotagateway/client/ClientRequestHandler.java
+++ b/src/main/java/quotagateway/client/ClientRequestHandler.java
@@ -16,6 +16,9 @@
      */
     String acceptCommand(ResponseSlot slot, ArrayRedisMessage command, RequestBody body, double receivedAtMs);
 
+    /** Called when a request was refused unparsed, as its connection has too many unanswered ones. */
+    void onRequestRefused();
+
     /** Returns whether memory is so short that reading from clients has to pause. */
     boolean isMemoryExhausted();
 
--- a/src/main/java/quotagateway/client/ReadAhead.java
+++ b/src/main/java/quotagateway/client/ReadAhead.java
@@ -36,6 +36,9 @@
     private final EventLoopContext loop;
     private final ReadAheadBudget budget;
     private final int maxBytes = Transport.readAheadBytes();
+    /** Run when the limits have paused reading of a connection that is held back. */
+    private final Runnable onFull;
+
     private final ArrayDeque<Chunk> chunks = new ArrayDeque<>();
     private final double openedAtMs;
     /** The longest time (ms) that the first bytes may have been unread in the accept queue; 0 once they are read. */
@@ -56,11 +59,13 @@
      * Creates the handler of one connection.
      *
      * @param maxQueueWaitMs the longest time (ms) that the connection may have waited before it was accepted
+     * @param onFull run when the limits have paused reading of a connection that is held back
      */
-    ReadAhead(EventLoopContext loop, ReadAheadBudget budget, double maxQueueWaitMs) {
+    ReadAhead(EventLoopContext loop, ReadAheadBudget budget, double maxQueueWaitMs, Runnable onFull) {
         this.loop = loop;
         this.budget = budget;
         this.maxQueueWaitMs = maxQueueWaitMs;
+        this.onFull = onFull;
         openedAtMs = loop.now();
         receivedAtMs = openedAtMs;
     }
@@ -86,6 +91,11 @@
         return heldBack;
     }
 
+    /** Returns whether no more is read before some input has been forwarded, so that an end of it is not seen. */
+    boolean isFull() {
+        return bufferedBytes >= maxBytes || (!chunks.isEmpty() && !budget.hasCapacity());
+    }
+
     /** Returns whether everything read has been forwarded. */
     boolean isEmpty() {
         return chunks.isEmpty();
@@ -228,6 +238,9 @@
         if (!shutDown && belowConnectionLimit && !belowSharedLimit) {
             budget.awaitCapacity(this);
         }
+        if (heldBack && !autoRead && !shutDown && isFull()) {
+            onFull.run();
+        }
     }
 
     @Override
--- a/src/main/java/quotagateway/client/ResponseQueue.java
+++ b/src/main/java/quotagateway/client/ResponseQueue.java
@@ -1,16 +1,21 @@
 package quotagateway.client;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import quotagateway.transport.EventLoopContext;
 
 /** The responses that a client connection owes, written in the order of its commands. */
 final class ResponseQueue {
+    private static final byte[] REFUSAL = "-BUSY\r\n".getBytes(StandardCharsets.US_ASCII);
+
     private final ClientConnection connection;
     private final Channel channel;
     private final EventLoopContext loop;
     private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
     private int commandCount;
+    private int refusalCount;
 
     ResponseQueue(ClientConnection connection, Channel channel, EventLoopContext loop) {
         this.connection = connection;
@@ -25,6 +30,22 @@
         return slot;
     }
 
+    /** Adds the refusal of a request; those in a row share a slot, as a client may send requests without end. */
+    void addRefusal() {
+        if (slots.isEmpty() || slots.peekLast().refusals() == 0) {
+            slots.add(new ResponseSlot(connection, commandCount));
+        }
+        commandCount++;
+        refusalCount++;
+        slots.peekLast().addRefusal();
+        writeReady();
+    }
+
+    /** Returns how many refusals have not been written yet. */
+    int refusalCount() {
+        return refusalCount;
+    }
+
     void remove(ResponseSlot slot) {
         slots.remove(slot);
     }
@@ -44,8 +65,10 @@
 
     /** Writes the complete responses at the head of the queue, and starts a streamed response that follows them. */
     void writeReady() {
-        while (!slots.isEmpty() && slots.peek().response() != null) {
-            channel.write(slots.poll().response(), channel.voidPromise());
+        while (!slots.isEmpty()
+                && (slots.peek().response() != null || slots.peek().refusals() > 0)) {
+            ResponseSlot slot = slots.poll();
+            channel.write(slot.refusals() > 0 ? encodeRefusals(slot) : slot.response(), channel.voidPromise());
             loop.flushLater(channel);
         }
         if (isStreamAtHead()) {
@@ -53,6 +76,15 @@
         }
     }
 
+    private ByteBuf encodeRefusals(ResponseSlot slot) {
+        refusalCount -= slot.refusals();
+        ByteBuf lines = channel.alloc().buffer(slot.refusals() * REFUSAL.length);
+        for (int i = 0; i < slot.refusals(); i++) {
+            lines.writeBytes(REFUSAL);
+        }
+        return lines;
+    }
+
     /** Called when the channel's writability has changed: resumes or pauses the source of the stream being written. */
     void updateStreamReading() {
         if (isStreamAtHead()) {
--- a/src/main/java/quotagateway/client/ResponseSlot.java
+++ b/src/main/java/quotagateway/client/ResponseSlot.java
@@ -15,6 +15,8 @@
     private ClientRequest request;
     private RedisMessage response;
     private StreamedResponse stream;
+    /** Number of requests in a row that this slot refuses; 0 if it is the slot of a single command. */
+    private int refusals;
 
     ResponseSlot(ClientConnection connection, int commandsBefore) {
         this.connection = connection;
@@ -87,6 +89,16 @@
         return !connection.isActive();
     }
 
+    /** Makes this the slot of one more refused request, none of which gets another response. */
+    void addRefusal() {
+        refusals++;
+    }
+
+    /** Returns how many requests in a row this slot refuses; 0 if it is the slot of a single command. */
+    int refusals() {
+        return refusals;
+    }
+
     /** Returns the complete response, or null while there is none. */
     RedisMessage response() {
         return response;
--- a/src/main/java/quotagateway/node/ClientRequestAcceptor.java
+++ b/src/main/java/quotagateway/node/ClientRequestAcceptor.java
@@ -71,11 +71,9 @@
             return "d is out of range";
         }
         guard.onRequestAccepted(command.id());
-        if (requests.hasClientId(command.id())) {
-            return "a request of this id is open"; // endpoints could not distinguish the two
-        }
-        if (requests.mayHaveExecuted(command.id())) {
-            return "a request of this id may have been executed";
+        String idError = idErrorOf(command);
+        if (idError != null) {
+            return idError;
         }
         if (requests.isPastShutdownDeadline(now)) { // the process may be killed at any time, and the request be lost
             reject(slot, command, body, FailureReason.SHUTDOWN);
@@ -100,6 +98,14 @@
         return null;
     }
 
+    /** Returns what is wrong with the id of a request, which another one has or has had; null for nothing. */
+    private String idErrorOf(ClientCommand command) {
+        if (requests.hasClientId(command.id())) {
+            return "a request of this id is open"; // endpoints could not distinguish the two
+        }
+        return requests.mayHaveExecuted(command.id()) ? "a request of this id may have been executed" : null;
+    }
+
     private static IncomingRequest toIncomingRequest(
             long id, ClientCommand command, double responseTimeMs, boolean arriving) {
         return new IncomingRequest(
@@ -136,6 +142,11 @@
         slot.respond(new ErrorRedisMessage("BUSY"));
     }
 
+    @Override
+    public void onRequestRefused() {
+        telemetry.onRequestRefused();
+    }
+
     @Override
     public boolean isMemoryExhausted() {
         return memory.isExhausted();
--- a/src/main/java/quotagateway/node/ExecutedRequestIds.java
+++ b/src/main/java/quotagateway/node/ExecutedRequestIds.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * The clients' ids of ended requests that must not be executed twice and may have been executed, the latest ones. A client
- * that leaves without a response may send its request again, and endpoints don't recognize it.
+ * The clients' ids of ended requests that must not be executed twice and may have been executed, the latest ones. A
+ * client that leaves without a response may send its request again, and endpoints don't recognize it.
  */
 final class ExecutedRequestIds {
     /** Ids that are kept, of some hundred bytes each. */
--- a/src/main/java/quotagateway/node/NodeTelemetry.java
+++ b/src/main/java/quotagateway/node/NodeTelemetry.java
@@ -90,6 +90,11 @@
         record(new NodeEvent.RequestCompleted(command.id(), outcome, reason));
     }
 
+    /** A request was refused unparsed, as too much input of its connection was kept already. */
+    void onRequestRefused() {
+        metrics.countUnserved(RequestOutcome.THROTTLED, FailureReason.MEMORY_SHORT);
+    }
+
     /** The client of a request has disconnected before the response. */
     void onRequestAbandoned(ClientCommand command) {
         record(new NodeEvent.RequestAbandoned(command.id()));
--- a/src/test/java/quotagateway/client/ClientConnectionFixture.java
+++ b/src/test/java/quotagateway/client/ClientConnectionFixture.java
@@ -50,6 +50,7 @@
     String errorText;
 
     boolean memoryExhausted;
+    int refusedCount;
     /** Whether a value of a request that arrives in several reads may be held. */
     boolean hasRoomForRequests = true;
 
@@ -80,6 +81,11 @@
         return errorText;
     }
 
+    @Override
+    public void onRequestRefused() {
+        refusedCount++;
+    }
+
     @Override
     public boolean isMemoryExhausted() {
         return memoryExhausted;
--- a/src/test/java/quotagateway/client/ClientConnectionTest.java
+++ b/src/test/java/quotagateway/client/ClientConnectionTest.java
@@ -176,4 +176,24 @@
         assertEquals(1, clients.requests.size());
         assertNull(clients.requests.get(0).body);
     }
+
+    /**
+     * Guards against requests that are sent on after their client has left (picture c of the review): its end comes
+     * behind all that it sent, so input beyond what is kept is refused, in its order, and not left unread.
+     */
+    @Test
+    void requestsBeyondTheInputThatIsKeptAreRefused() {
+        int sent = 0;
+        while (clients.refusedCount == 0 && sent < 100_000) {
+            channel.receive(ClientConnectionFixture.REQUEST.repeat(100));
+            sent += 100;
+            channel.runPendingTasks();
+        }
+        assertTrue(clients.refusedCount > 0);
+        assertTrue(channel.config().isAutoRead());
+        List.copyOf(clients.requests).forEach(request -> request.fail("failed"));
+        String answers = channel.sent();
+        assertTrue(answers.startsWith("-ERR failed\r\n".repeat(256)));
+        assertTrue(answers.contains("-BUSY\r\n".repeat(clients.refusedCount)));
+    }
 }
--- a/src/test/java/quotagateway/client/ReadAheadTest.java
+++ b/src/test/java/quotagateway/client/ReadAheadTest.java
@@ -19,7 +19,7 @@
 
     private final ManualEventLoop loop = new ManualEventLoop();
     private final ReadAheadBudget budget = new ReadAheadBudget(loop);
-    private final ReadAhead readAhead = new ReadAhead(loop, budget, 0);
+    private final ReadAhead readAhead = new ReadAhead(loop, budget, 0, () -> {});
     private final EmbeddedChannel channel = new EmbeddedChannel(readAhead);
 
     private static ByteBuf bytes(int size) {
@@ -58,7 +58,7 @@
 
     @Test
     void exhaustedBudgetPausesHeldBackConnectionsUntilItHasCapacity() {
-        EmbeddedChannel running = new EmbeddedChannel(new ReadAhead(loop, budget, 0));
+        EmbeddedChannel running = new EmbeddedChannel(new ReadAhead(loop, budget, 0, () -> {}));
         budget.add(BUDGET_BYTES);
         readAhead.holdBack();
         assertFalse(channel.config().isAutoRead());
--- a/src/test/java/quotagateway/node/ListenerLifecycleTest.java
+++ b/src/test/java/quotagateway/node/ListenerLifecycleTest.java
@@ -67,6 +67,9 @@
             throw new IllegalStateException("no request is expected");
         }
 
+        @Override
+        public void onRequestRefused() {}
+
         @Override
         public boolean isMemoryExhausted() {
             return false;
