--- a/src/main/java/quotagateway/node/ActiveRequest.java
+++ b/src/main/java/quotagateway/node/ActiveRequest.java
@@ -202,6 +202,11 @@
         return attemptHandler.denies(this, attempt);
     }
 
+    @Override
+    public boolean mayRepeat(Attempt attempt) {
+        return attemptHandler.mayRepeat(this, attempt);
+    }
+
     @Override
     public void onAttemptWritten() {
         attemptHandler.onWritten(this);
--- a/src/main/java/quotagateway/node/AttemptHandler.java
+++ b/src/main/java/quotagateway/node/AttemptHandler.java
@@ -93,6 +93,11 @@
         return true;
     }
 
+    /** Whether another attempt may follow this one, though an endpoint may have executed it. */
+    boolean mayRepeat(ActiveRequest request, Attempt attempt) {
+        return guard.mayRepeat(request.command().requestClass(), attempt.number() + 1) && !request.isBodyConsumed();
+    }
+
     /** The last byte of an attempt has been written. */
     void onWritten(ActiveRequest request) {
         telemetry.onAttemptWritten();
--- a/src/main/java/quotagateway/node/LifecycleGuard.java
+++ b/src/main/java/quotagateway/node/LifecycleGuard.java
@@ -193,6 +193,11 @@
         return found == null || found.idempotency() == Idempotency.NON_IDEMPOTENT;
     }
 
+    /** Whether the requests of a class may have another attempt after so many, of which the last may be executed. */
+    boolean mayRepeat(String requestClass, int attempts) {
+        return attempts < capabilities.maxAttempts() && !isExecutedOnce(requestClass);
+    }
+
     /** Whether two endpoints recognize each other's idempotency keys; false if an endpoint is unknown. */
     private static boolean inSameScope(RetryScope scope, EndpointDescriptor first, EndpointDescriptor second) {
         if (first == null || second == null) {
--- a/src/main/java/quotagateway/upstream/EndpointConnection.java
+++ b/src/main/java/quotagateway/upstream/EndpointConnection.java
@@ -35,7 +35,10 @@
 final class EndpointConnection extends ChannelInboundHandlerAdapter
         implements LargeValueHandler, ResponseSource, RequestBodySink {
     private static final int MAX_REPLY_ELEMENTS = 16;
-    /** A reply that has begun, and of which nothing more comes for this long (ms), will not be whole. */
+    /**
+     * If nothing more comes of a reply that has begun for this long (ms), another attempt is better than to wait on. A
+     * request that can't have another one waits for the rest until its deadline.
+     */
     private static final double PARTIAL_REPLY_TIMEOUT_MS = 250;
 
     private final EndpointPool pool;
@@ -266,7 +269,8 @@
             if (ended || (awaitedAttempt == null && awaitedStream == null)) {
                 return;
             }
-            if (frames.pendingBytes() != bytesBefore) {
+            boolean arriving = frames.pendingBytes() != bytesBefore;
+            if (arriving || (awaitedAttempt != null && isLastChance(awaitedAttempt))) {
                 awaitRestOfReply();
             } else {
                 failUnreadable();
@@ -274,6 +278,10 @@
         });
     }
 
+    private static boolean isLastChance(Attempt awaited) {
+        return !awaited.isHealthCheck() && !awaited.request().mayRepeat(awaited);
+    }
+
     /** What has come is no reply, or not the whole of one: nothing more on this connection can be told apart. */
     private void failUnreadable() {
         Attempt sent = attempt;
--- a/src/main/java/quotagateway/upstream/UpstreamRequest.java
+++ b/src/main/java/quotagateway/upstream/UpstreamRequest.java
@@ -19,6 +19,9 @@
     /** Whether an attempt must not be written any more: it has waited, and time has gone on since it was decided. */
     boolean denies(Attempt attempt);
 
+    /** Whether another attempt may follow this one, though an endpoint may have executed it. */
+    boolean mayRepeat(Attempt attempt);
+
     /** The last byte of an attempt has been written. */
     void onAttemptWritten();
 
--- a/src/test/java/quotagateway/upstream/EndpointConnectionTest.java
+++ b/src/test/java/quotagateway/upstream/EndpointConnectionTest.java
@@ -66,6 +66,18 @@
         assertEquals(List.of("a written", "closed s UNREADABLE", "a ERROR"), endpoints.takeEvents());
     }
 
+    /** Guards against cutting off a reply that is written with pauses (picture d): its request can't be sent again. */
+    @Test
+    void replyThatStopsIsWaitedForWhereNoOtherAttemptMayFollow() {
+        endpoints.mayRepeat = false;
+        endpoints.send("a", "s");
+        peer.reply("*3\r\n$1");
+        endpoints.loop.advance(100 * PARTIAL_REPLY_TIMEOUT_MS);
+        assertTrue(peer.isOpen());
+        peer.reply("\r\nv\r\n$-1\r\n$9\r\nutil=0.25\r\n");
+        assertEquals(List.of("a written", "a OK v [0.25, NaN]"), endpoints.takeEvents());
+    }
+
     @Test
     void unreadableReplyIsAnErrorOfTheAttempt() {
         endpoints.send("a", "s");
--- a/src/test/java/quotagateway/upstream/EndpointSide.java
+++ b/src/test/java/quotagateway/upstream/EndpointSide.java
@@ -71,6 +71,9 @@
         }
     }
 
+    /** Whether another attempt may follow one that an endpoint may have executed. */
+    boolean mayRepeat = true;
+
     /** A request whose command is {@code GET} and its name. */
     final class Request implements UpstreamRequest {
         final String name;
@@ -96,6 +99,11 @@
             return denied;
         }
 
+        @Override
+        public boolean mayRepeat(Attempt attempt) {
+            return mayRepeat;
+        }
+
         @Override
         public void onAttemptWritten() {
             events.add(name + " written");
