As much input is kept of a connection with epoll as with NIO

Since input that can't be kept is refused, a sound client's 2,000 commands were refused from the 101st on, with epoll.

Change: 256 KB with both.

Measured: on a scratch build with epoll's library for arm64 ClientDisconnectTest.commandsBeyondThePipelineLimitAreAllAnswered failed before (expected: <[-BUSY 1500]> but was: <[-BUSY]>) and passes now, as do the other tests there of client connections, large values and shutdowns.

--- a/src/main/java/quotagateway/transport/Transport.java
+++ b/src/main/java/quotagateway/transport/Transport.java
@@ -27,13 +27,10 @@
     private static final int MAX_READS_PER_ROUND = 16;
 
     /**
-     * How much is read of a client's connection beyond the commands that are open, some hundred commands. Epoll tells
-     * of an end of the connection however much is unread in front of it.
+     * How much is kept of a client's connection beyond the commands that are open, some thousand commands. The end of a
+     * connection is told behind all in front of it, as the client's system holds back what there is no room for.
      */
-    private static final int READ_AHEAD_BYTES = 64 * 1024;
-
-    /** NIO tells of an end only when all in front of it is read: as much as the system's buffers hold. */
-    private static final int READ_AHEAD_BYTES_NIO = 256 * 1024;
+    private static final int READ_AHEAD_BYTES = 256 * 1024;
 
     private static volatile boolean epoll = Epoll.isAvailable();
 
@@ -46,7 +43,7 @@
 
     /** How many bytes to read of a client's connection beyond the commands that are open, to see its end. */
     public static int readAheadBytes() {
-        return epoll ? READ_AHEAD_BYTES : READ_AHEAD_BYTES_NIO;
+        return READ_AHEAD_BYTES;
     }
 
     /**
