What has arrived before a value's turn is read before its first byte is written

Cause: a value that waits behind other responses is not read meanwhile, so its endpoint's end may be unseen; with its time to gather used up it was begun at once at its turn, and broke off.

Change: at its turn a value is read for one iteration of the loop first. New: whatArrivedBeforeItsTurnIsReadFirst.

--- a/src/main/java/quotagateway/streaming/StreamedResponse.java
+++ b/src/main/java/quotagateway/streaming/StreamedResponse.java
@@ -32,6 +32,8 @@
     }
 
     private static final double SILENCE_CHECK_INTERVAL_MS = 500;
+    /** Delay (ms) after which the loop has read all connections once, if a task without delay follows it. */
+    private static final double NEXT_ITERATION_MS = 1;
 
     private final EventLoopContext loop;
     private final ResponseSource source;
@@ -169,8 +171,12 @@
         }
         client = channel;
         turnAtMs = loop.now();
-        beginIfGathered();
         updateReading();
+        if (fullyReceived || !gatherLimits.memory().hasRoom(sink.hasCommandsBehind())) {
+            begin();
+        } else { // first read what has arrived while reading was paused: it may be the end
+            beginTimer = loop.schedule(NEXT_ITERATION_MS, () -> beginTimer = loop.schedule(0, this::beginIfGathered));
+        }
     }
 
     /** Moves the time at which the first byte is written at the latest (ms of the loop's clock) to an earlier one. */
--- a/src/test/java/quotagateway/node/ListenerLifecycleTest.java
+++ b/src/test/java/quotagateway/node/ListenerLifecycleTest.java
@@ -13,6 +13,7 @@
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import quotagateway.client.ClientListener;
@@ -94,6 +95,14 @@
         public void onClientConnectionClosed(NodeEvent.ClientConnectionClosed closed) {}
     }
 
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * A client that connects before bind has returned must be served. In this test bind never returns normally, because
      * its caller is interrupted.
@@ -106,12 +115,15 @@
             address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePortSocket.getLocalPort());
         }
         EventLoopGroup group = Transport.newEventLoop();
+        CountDownLatch interrupted = new CountDownLatch(1);
+        group.execute(() -> awaitUninterruptibly(interrupted)); // the bind completes after its caller's wait has ended
         try {
             Thread.currentThread().interrupt();
             assertThrows(
                     InterruptedException.class,
                     () -> new ClientListener(node.eventLoop(), new PingOnlyHandler(), 8, OUTPUT_BLOCKED_TIMEOUT_MS)
                             .bind(group, address));
+            interrupted.countDown();
             group.submit(() -> {}).sync(); // runs after the bind, which the event loop completes
             group.submit(() -> {}).sync();
             try (Peer.Connection connection = Peer.Connection.connect(address.getPort())) {
--- a/src/test/java/quotagateway/streaming/StreamedResponseTest.java
+++ b/src/test/java/quotagateway/streaming/StreamedResponseTest.java
@@ -67,8 +67,8 @@
         }
     };
 
-    /** Of a request without time to gather its response; tests of gathering create another stream. */
-    private final GatherLimits limits = new GatherLimits(behind -> hasRoom, 0, 0, Double.MAX_VALUE);
+    /** Without memory to gather the response; tests of gathering create another stream. */
+    private final GatherLimits limits = new GatherLimits(behind -> false, 0, 0, Double.MAX_VALUE);
 
     private final StreamedResponse stream = new StreamedResponse(
             loop, source, slot, 6, limits, SILENCE_TIMEOUT_MS, (ended, end) -> events.add("ended " + end));
@@ -195,6 +195,22 @@
         assertEquals(List.of("ended ENDPOINT_CLOSED", "stop", "respond ERR failed"), events);
     }
 
+    /** Guards against beginning a value whose end has arrived unseen, as it was not read before its turn. */
+    @Test
+    void whatArrivedBeforeItsTurnIsReadFirst() {
+        GatherLimits noTime = new GatherLimits(behind -> true, 0, 0, Double.MAX_VALUE);
+        StreamedResponse waiting = new StreamedResponse(
+                loop, source, slot, 6, noTime, SILENCE_TIMEOUT_MS, (ended, end) -> events.add("ended " + end));
+        waiting.append(bytes("abc"), false);
+        assertFalse(reading);
+        waiting.onTurn(client);
+        assertTrue(reading);
+        assertEquals("", sent());
+        waiting.onSourceFailed();
+        loop.advance(10);
+        assertEquals(List.of("ended ENDPOINT_CLOSED", "stop", "respond ERR failed"), events);
+    }
+
     @Test
     void gatheredValueIsWrittenOnceItIsComplete() {
         StreamedResponse gathered = newGatheringStream();
