LargeResponseTest: values not to be gathered whole are larger than the memory for it

Cause: clientsThatDoNotReadApplyBackpressureToEndpoints expects that no value fits into memory, so that each holds its endpoint's connection. With 192 MB a value of 4 MiB is just as large as what may be gathered, and beside eight busy processes one was gathered whole in one run of three; its connection was free then, and no new one came.

Change: 96 MB there, of which 2 MB may be gathered; the check is as it was.

--- a/src/test/java/quotagateway/node/LargeResponseTest.java
+++ b/src/test/java/quotagateway/node/LargeResponseTest.java
@@ -189,6 +189,7 @@
     @Test
     void clientsThatDoNotReadApplyBackpressureToEndpoints() throws Exception {
         maxSockets = 512;
+        memoryMb = 96; // with more, one of these values fits into the memory for gathering, and frees its connection
         start();
         byte[] value = randomBytes(LARGE_BYTES);
         List<Peer.Connection> clients = new ArrayList<>();
