A part that arrives at the turn of a value does not begin it; its timer does

Cause: each part of a gathered value computed its time anew, and cancelled and scheduled the timer for it; with the time used up the first part began the value, ahead of the read for one iteration that its turn allows.

Change: a part begins a value only if it is complete or memory has run out; the time is looked at by its timer.

Measured: whatArrivedBeforeItsTurnIsReadFirst, now with a part in front of the end, fails before the change.

--- a/src/main/java/quotagateway/streaming/StreamedResponse.java
+++ b/src/main/java/quotagateway/streaming/StreamedResponse.java
@@ -136,7 +136,9 @@
             write(part, last);
         } else {
             bufferedParts.add(part);
-            beginIfGathered();
+            if (client != null && isGathered()) {
+                begin();
+            }
         }
         updateReading();
         if (last) {
@@ -172,10 +174,10 @@
         client = channel;
         turnAtMs = loop.now();
         updateReading();
-        if (fullyReceived || !gatherLimits.memory().hasRoom(sink.hasCommandsBehind())) {
+        if (isGathered()) {
             begin();
         } else { // first read what has arrived while reading was paused: it may be the end
-            beginTimer = loop.schedule(NEXT_ITERATION_MS, () -> beginTimer = loop.schedule(0, this::beginIfGathered));
+            beginTimer = loop.schedule(NEXT_ITERATION_MS, () -> beginTimer = loop.schedule(0, this::beginIfDue));
         }
     }
 
@@ -186,21 +188,24 @@
                 gatherLimits.aloneMs(),
                 gatherLimits.withCommandsBehindMs(),
                 Math.min(gatherLimits.latestBeginAtMs(), latestBeginAtMs));
-        beginIfGathered();
+        if (client != null && !begun && !ended) {
+            cancelBeginTimer();
+            beginIfDue();
+        }
     }
 
-    /** Begins to write if it is this response's turn, and the value is complete or a limit is reached. */
-    private void beginIfGathered() {
-        if (client == null || begun || ended) {
-            return;
-        }
-        boolean commandsBehind = sink.hasCommandsBehind();
-        double beginAtMs = gatherLimits.beginAtMs(turnAtMs, commandsBehind);
-        if (fullyReceived || loop.now() >= beginAtMs || !gatherLimits.memory().hasRoom(commandsBehind)) {
+    /** Returns whether there is no more to gather, or no memory to gather it. */
+    private boolean isGathered() {
+        return fullyReceived || !gatherLimits.memory().hasRoom(sink.hasCommandsBehind());
+    }
+
+    /** Begins to write if the time to gather is over; commands that have arrived meanwhile may have extended it. */
+    private void beginIfDue() {
+        double beginAtMs = gatherLimits.beginAtMs(turnAtMs, sink.hasCommandsBehind());
+        if (loop.now() >= beginAtMs) {
             begin();
         } else {
-            cancelBeginTimer();
-            beginTimer = loop.schedule(beginAtMs - loop.now(), this::beginIfGathered);
+            beginTimer = loop.schedule(beginAtMs - loop.now(), this::beginIfDue);
         }
     }
 
--- a/src/main/java/quotagateway/transport/Transport.java
+++ b/src/main/java/quotagateway/transport/Transport.java
@@ -19,7 +19,7 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * The kind of sockets that the node uses: native epoll, measured to take a fifth less CPU than NIO, or NIO where the
+ * The kind of sockets that the node uses: native epoll, which takes less CPU than NIO, or NIO where the
  * library of epoll cannot be loaded.
  */
 public final class Transport {
--- a/src/test/java/quotagateway/streaming/StreamedResponseTest.java
+++ b/src/test/java/quotagateway/streaming/StreamedResponseTest.java
@@ -205,6 +205,7 @@
         assertFalse(reading);
         waiting.onTurn(client);
         assertTrue(reading);
+        waiting.append(bytes("d"), false); // read in front of the end
         assertEquals("", sent());
         waiting.onSourceFailed();
         loop.advance(10);
